--- /dev/null
+++ b/affinity/sketch.go
@@ -0,0 +1,67 @@
+// Package affinity remembers which prompt prefixes an engine probably has in
+// its cache, in bounded memory and from late and incomplete knowledge.
+package affinity
+
+import (
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+const (
+	slots = 512
+	// tokensUnit is the resolution in which lengths are kept.
+	tokensUnit = 16
+	// lifetime is how long a prefix is believed to stay without use.
+	lifetime = 5 * time.Minute
+)
+
+// Sketch is a direct-mapped table of prefixes, 8 KiB for each engine. A newer
+// prefix replaces an older one in the same slot. It is not safe for concurrent
+// use.
+type Sketch struct {
+	entries [slots]entry
+}
+
+type entry struct {
+	fingerprint uint32
+	units       uint32
+	seconds     int64
+}
+
+// Note records that the engine was given a prefix.
+func (sk *Sketch) Note(now time.Time, prefix uint64, tokens mp.Tokens) {
+	if prefix == 0 || tokens < tokensUnit {
+		return
+	}
+	sk.entries[prefix%slots] = entry{fingerprint: fingerprintOf(prefix), units: uint32(tokens / tokensUnit), seconds: now.Unix()}
+}
+
+// Forget records that the engine dropped a prefix.
+func (sk *Sketch) Forget(prefix uint64) {
+	en := &sk.entries[prefix%slots]
+	if en.fingerprint == fingerprintOf(prefix) {
+		*en = entry{}
+	}
+}
+
+// Reset forgets everything, for an engine that restarted.
+func (sk *Sketch) Reset() {
+	sk.entries = [slots]entry{}
+}
+
+// Cached returns how many tokens of the prefix the engine probably has.
+func (sk *Sketch) Cached(now time.Time, prefix uint64) mp.Tokens {
+	if prefix == 0 {
+		return 0
+	}
+	en := &sk.entries[prefix%slots]
+	if en.fingerprint != fingerprintOf(prefix) || now.Unix()-en.seconds > int64(lifetime/time.Second) {
+		return 0
+	}
+	return mp.Tokens(en.units) * tokensUnit
+}
+
+func fingerprintOf(prefix uint64) uint32 {
+	return uint32(prefix >> 32)
+}
--- /dev/null
+++ b/blackboard/board.go
@@ -0,0 +1,74 @@
+// Package blackboard holds the control state of a host, which controllers read
+// and write on one goroutine, and the immutable snapshot of it that requests
+// read.
+package blackboard
+
+import (
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+// Offer is a published configuration set that was not judged yet.
+type Offer struct {
+	Revision mp.Revision
+	Values   map[mp.ConfigKey]mp.Value
+}
+
+// Refusal is the last configuration set that was not applied.
+type Refusal struct {
+	Revision mp.Revision   `json:"revision"`
+	Faults   config.Faults `json:"faults"`
+	At       time.Time     `json:"at"`
+}
+
+// Board is the control state. Only the control goroutine touches it.
+type Board struct {
+	// Now is the time of the current pass over the controllers.
+	Now time.Time
+	// Host names this entry host.
+	Host mp.HostID
+	// DataCentre is where this host runs.
+	DataCentre mp.DataCentreID
+
+	// Offered is the newest published set that was not judged yet.
+	Offered *Offer
+	// Config is the set in force; nil before the first.
+	Config *config.Set
+	// ConfigAt is when the set came into force.
+	ConfigAt time.Time
+	// Refused is the last set that was not applied.
+	Refused *Refusal
+	// PlatformAt is when the platform last answered.
+	PlatformAt time.Time
+
+	// Machines is the platform's list of live and leaving machines.
+	Machines mp.HostList
+	// Hosts is how many entry hosts of the data centre serve.
+	Hosts int
+	// LeavingServers names the engines and replicas that get no new work.
+	LeavingServers map[string]bool
+
+	// Stopping says that this host takes no new request soon.
+	Stopping bool
+	// Pauses counts how often the control goroutine was away for too long.
+	Pauses int
+	// PausedAt is when the last pause was noticed.
+	PausedAt time.Time
+
+	// Changed says that the snapshot is out of date.
+	Changed bool
+}
+
+// New returns the board of a host.
+func New(host mp.HostID, dc mp.DataCentreID) *Board {
+	return &Board{Host: host, DataCentre: dc, Hosts: 1, LeavingServers: map[string]bool{}}
+}
+
+// Message is an event that changes the board. Messages reach the control
+// goroutine through a bounded queue.
+type Message interface {
+	// Apply changes the board, on the control goroutine.
+	Apply(bo *Board)
+}
--- /dev/null
+++ b/caller/completion.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+// serveCompletion answers a completion, as a stream or whole.
+func (se *Server) serveCompletion(ex *exchange) error {
+	contract, err := authenticate(ex)
+	if err != nil {
+		return err
+	}
+	class, err := classOf(ex, contract)
+	if err != nil {
+		return err
+	}
+	body, err := se.readBody(ex)
+	if err != nil {
+		return err
+	}
+	if err := se.checkJSON(body); err != nil {
+		return err
+	}
+	cm, err := parse(ex, body)
+	if err != nil {
+		return err
+	}
+	if _, ok := ex.snapshot.Model(cm.model); !ok {
+		return modelNotFound(cm.model)
+	}
+	if !class.AllowsModel(cm.model) {
+		return mp.NewError(mp.KindModelNotAllowed, "class %q may not use model %q", class.Name, cm.model)
+	}
+	body, err = engineBody(body, class.Tier)
+	if err != nil {
+		return err
+	}
+	ru := &run{
+		server:   se,
+		exchange: ex,
+		class:    class,
+		request:  cm,
+		body:     body,
+		work:     work(ex, contract, class, cm),
+		outcome:  se.meter.Request(contract.Organisation, class),
+	}
+	return ru.serve()
+}
+
+// work describes the request to the scheduler. Shares are split evenly over
+// the data centre's hosts.
+func work(ex *exchange, contract *config.Contract, class *config.Class, cm *completion) mp.Work {
+	hosts := mp.TokensPerSecond(ex.snapshot.Hosts)
+	return mp.Work{
+		ID:              ex.id,
+		Organisation:    contract.Organisation,
+		Class:           class.Name,
+		Model:           cm.model,
+		Tier:            class.Tier,
+		Prompt:          cm.prompt,
+		PrefixID:        cm.prefixID(),
+		PrefixTokens:    mp.Tokens(len(cm.prefix) / bytesPerToken),
+		AnswerLimit:     cm.answerLimit,
+		FirstToken:      class.Targets.FirstToken.Std(),
+		BetweenTokens:   class.Targets.BetweenTokens.Std(),
+		LongestWait:     class.LongestWait.Std(),
+		Promised:        class.Share.PromisedTokensPerSecond / hosts,
+		Most:            class.Share.MostTokensPerSecond / hosts,
+		MostConcurrency: concurrency(class.Share.MostConcurrency, ex.snapshot.Hosts),
+	}
+}
+
+// concurrency returns a host's part of a limit, rounded up; zero stays zero.
+func concurrency(limit, hosts int) int {
+	return (limit + hosts - 1) / hosts
+}
--- /dev/null
+++ b/caller/run.go
@@ -0,0 +1,207 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/meter"
+	"github.com/mangopaddle/mangopaddle/pool"
+	"github.com/mangopaddle/mangopaddle/retry"
+)
+
+// sink takes the events of an answer.
+type sink interface {
+	// event takes the next event; its error means that the caller is gone.
+	event(ev engine.Event) error
+	// end completes the answer.
+	end() error
+	// fail ends an answer that cannot be completed. It reports whether the
+	// caller was told.
+	fail(er *mp.Error) bool
+}
+
+// run is one completion on its way through the engines.
+type run struct {
+	server   *Server
+	exchange *exchange
+	class    *config.Class
+	request  *completion
+	body     []byte
+	work     mp.Work
+	outcome  *meter.Request
+
+	sink  sink
+	lease *pool.Lease
+
+	count   mp.Tokens // of the answer, with the caller
+	first   time.Time // when the current run brought its first token
+	last    time.Time
+	entered mp.Tokens // count when the current run began
+}
+
+// errCallerGone is what a sink returns when the caller takes nothing more.
+var errCallerGone = errors.New("the caller is gone")
+
+// serve runs the completion until the answer is complete or cannot be.
+func (ru *run) serve() error {
+	ctx := ru.exchange.request.Context()
+	lease, err := ru.server.pool.Acquire(ctx, ru.work)
+	if err != nil {
+		ru.outcome.Refused(mp.KindOf(err))
+		return err
+	}
+	ru.lease = lease
+	ru.sink = ru.newSink()
+	err = ru.attempts(ctx)
+	if err == nil {
+		ru.outcome.Completed(ru.count)
+		return ru.sink.end()
+	}
+	er := mp.AsError(err)
+	ru.outcome.Broken(er.Kind, ru.count)
+	if ru.sink.fail(er) {
+		ru.exchange.begun = true
+	}
+	return err
+}
+
+func (ru *run) newSink() sink {
+	if ru.request.stream {
+		return newStreamSink(ru.exchange, ru.server.limits.Write, ru.request.wantsUsage)
+	}
+	return newWholeSink(ru.exchange)
+}
+
+// attempts runs the request on one engine after another.
+func (ru *run) attempts(ctx context.Context) error {
+	attempts := ru.server.retries.attempts()
+	for {
+		err := ru.attempt(ctx)
+		if err == nil {
+			ru.lease.Release(ru.result(false))
+			return nil
+		}
+		failure, broken := errors.AsType[*engine.Failure](err)
+		if ctx.Err() != nil || !broken {
+			ru.lease.Release(ru.result(false))
+			return mp.WrapError(err, mp.KindCallerGone, "the caller left before the end of the answer")
+		}
+		if failure.CallersFault() {
+			ru.lease.Release(ru.result(false))
+			return mp.WrapError(err, mp.KindInvalidRequest, "the engine refused the request: %s", refusalMessage(failure))
+		}
+		if !ru.mayRepeat() || !ru.server.retries.again(attempts, ru.count > ru.entered) {
+			ru.lease.Release(ru.result(true))
+			return mp.WrapError(err, mp.KindBackendFailed, "the engines failed before the end of the answer")
+		}
+		ru.outcome.Resumed(ru.wasted())
+		ru.server.retries.pause(ctx, ru.server, attempts)
+		if err := ru.lease.Reassign(ru.result(true)); err != nil {
+			return mp.WrapError(err, mp.KindBackendFailed, "no other engine could go on with the answer")
+		}
+	}
+}
+
+// mayRepeat says whether another run can go on where the last one ended.
+func (ru *run) mayRepeat() bool {
+	return ru.request.resumable || ru.count == 0
+}
+
+// wasted returns the tokens that another run has to compute again. Resuming
+// repeats the prompt only.
+func (ru *run) wasted() mp.Tokens {
+	if ru.count > ru.entered {
+		return ru.work.Prompt
+	}
+	return 0
+}
+
+// attempt runs the request on the engine of the lease.
+func (ru *run) attempt(ctx context.Context) error {
+	ru.entered, ru.first = ru.count, time.Time{}
+	target, ok := ru.server.view.Load().Engine(ru.lease.Engine())
+	if !ok {
+		return &engine.Failure{Stage: engine.StageSend}
+	}
+	return ru.server.engines.Run(ctx, engine.Request{
+		ID:       ru.exchange.id,
+		Address:  target.Address,
+		Path:     ru.exchange.request.URL.Path,
+		Body:     ru.body,
+		ResumeAt: ru.count,
+		Events:   ru.event,
+		Load:     ru.lease.ObserveLoad,
+	})
+}
+
+// event counts an event and hands it to the sink.
+func (ru *run) event(ev engine.Event) error {
+	if ev.Count > ru.count {
+		now := ru.server.clock.Now()
+		if ru.count == 0 {
+			ru.outcome.FirstToken(now.Sub(ru.exchange.arrival))
+		} else {
+			ru.outcome.Gap(now.Sub(ru.last), ev.Count-ru.count)
+		}
+		if ru.first.IsZero() {
+			ru.first = now
+		}
+		ru.last = now
+		ru.count = ev.Count
+	}
+	return ru.sink.event(ev)
+}
+
+// result describes the current run to the scheduler.
+func (ru *run) result(failed bool) mp.Outcome {
+	out := mp.Outcome{Answer: ru.count, Failed: failed}
+	if ru.first.IsZero() {
+		return out
+	}
+	out.FirstToken = ru.first.Sub(ru.lease.Started())
+	if tokens := ru.count - ru.entered - 1; tokens > 0 {
+		out.MeanGap = ru.last.Sub(ru.first) / time.Duration(tokens)
+	}
+	return out
+}
+
+// retries shares the retry budget between requests.
+type retries struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+func newRetries() *retries {
+	return &retries{budget: retry.NewBudget()}
+}
+
+func (rs *retries) attempts() *retry.Attempts {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return retry.NewAttempts(rs.budget)
+}
+
+func (rs *retries) again(at *retry.Attempts, progressed bool) bool {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return at.Again(progressed)
+}
+
+// pause waits before the next run. A run that brought tokens is followed at
+// once.
+func (rs *retries) pause(ctx context.Context, se *Server, at *retry.Attempts) {
+	if at.Barren() <= 1 {
+		return
+	}
+	wait := retry.Backoff(at.Barren(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	select {
+	case <-ctx.Done():
+	case <-se.clock.After(wait):
+	}
+}
--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,87 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/service"
+)
+
+// serveService passes a call to a plain service.
+func (se *Server) serveService(ex *exchange) error {
+	contract, err := authenticate(ex)
+	if err != nil {
+		return err
+	}
+	class, err := classOf(ex, contract)
+	if err != nil {
+		return err
+	}
+	name := mp.ServiceName(ex.request.PathValue("name"))
+	target, ok := ex.snapshot.Service(name)
+	if !ok {
+		return mp.NewError(mp.KindServiceNotFound, "service %q does not exist", name)
+	}
+	if !class.AllowsService(name) {
+		return mp.NewError(mp.KindClassNotAllowed, "class %q may not call service %q", class.Name, name)
+	}
+	body, err := se.readBody(ex)
+	if err != nil {
+		return err
+	}
+	outcome := se.meter.Request(contract.Organisation, class)
+	answer, err := se.services.Do(callContext(ex, target), target, newCall(ex, body))
+	if err != nil {
+		outcome.Refused(mp.KindOf(err))
+		return err
+	}
+	outcome.Answered(se.clock.Since(ex.arrival))
+	return writeAnswer(ex, answer)
+}
+
+// callContext returns the context of a call. A call that may not be repeated
+// goes on when its caller leaves, so that its outcome does not depend on that.
+func callContext(ex *exchange, target *blackboard.Service) context.Context {
+	ctx := ex.request.Context()
+	if target.Idempotent {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
+// passedHeaders are the headers of a caller that a service gets.
+var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", mp.HeaderIdempotencyKey}
+
+func newCall(ex *exchange, body []byte) service.Call {
+	header := http.Header{}
+	for _, name := range passedHeaders {
+		if values := ex.request.Header.Values(name); len(values) > 0 {
+			header[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	header.Set(mp.HeaderRequestID, string(ex.id))
+	path := "/" + ex.request.PathValue("path")
+	if query := ex.request.URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	return service.Call{ID: ex.id, Method: ex.request.Method, Path: path, Header: header, Body: body}
+}
+
+// keptHeaders are the headers of a service's answer that the caller gets.
+var keptHeaders = []string{"Content-Type", "Location", "Etag", "Cache-Control", "Retry-After"}
+
+func writeAnswer(ex *exchange, answer *service.Answer) error {
+	for _, name := range keptHeaders {
+		if value := answer.Header.Get(name); value != "" {
+			ex.writer.Header().Set(name, value)
+		}
+	}
+	ex.begun = true
+	ex.writer.WriteHeader(answer.Status)
+	if _, err := ex.writer.Write(answer.Body); err != nil {
+		return mp.WrapError(err, mp.KindCallerGone, "the caller left before the end of the answer")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/mangopaddle/schema.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+// schema prints the JSON schemas.
+type schema struct {
+	stdout, stderr io.Writer
+}
+
+func newSchema(stdout, stderr io.Writer) *schema {
+	return &schema{stdout: stdout, stderr: stderr}
+}
+
+func (sc *schema) command() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "jsonschema",
+		ShortUsage: "mangopaddle jsonschema fleet|contract",
+		ShortHelp:  "Print the JSON schema of a configuration file.",
+		FlagSet:    flags("jsonschema", sc.stderr),
+		Exec:       sc.run,
+	}
+}
+
+func (sc *schema) run(_ context.Context, args []string) error {
+	if len(args) != 1 {
+		return errors.NotValidf("number of arguments %d (want one: %q or %q)", len(args), config.SchemaFleet, config.SchemaContract)
+	}
+	text, err := config.Schema(config.SchemaName(args[0]))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(sc.stdout, "%s\n", text)
+	return nil
+}
--- /dev/null
+++ b/cmd/mangopaddle/serve.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/host"
+)
+
+// envPrefix begins the environment variables of the settings.
+const envPrefix = "MANGOPADDLE"
+
+// serve runs an entry host.
+type serve struct {
+	stderr   io.Writer
+	settings config.Settings
+	level    string
+}
+
+func newServe(stderr io.Writer) *serve {
+	return &serve{stderr: stderr, settings: config.DefaultSettings()}
+}
+
+func (se *serve) command() *ffcli.Command {
+	set := flags("serve", se.stderr)
+	bindSettings(set, &se.settings)
+	set.StringVar(&se.level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	set.String("settings", "", "JSON file with settings, named as the flags")
+	return &ffcli.Command{
+		Name:       "serve",
+		ShortUsage: "mangopaddle serve --host NAME --data-centre NAME --platform ADDRESS [FLAGS]",
+		ShortHelp:  "Run an entry host until SIGTERM, then finish the requests in progress.",
+		LongHelp:   "Every flag can also be set by an environment variable (MANGOPADDLE_DATA_CENTRE\nfor --data-centre) or in the settings file.",
+		FlagSet:    set,
+		Options: []ff.Option{
+			ff.WithEnvVarPrefix(envPrefix),
+			ff.WithConfigFileFlag("settings"),
+			ff.WithConfigFileParser(ff.JSONParser),
+		},
+		Exec: se.run,
+	}
+}
+
+// bindSettings defines a flag for every setting.
+func bindSettings(set *flag.FlagSet, st *config.Settings) {
+	set.StringVar((*string)(&st.Host), "host", string(st.Host), "name of this entry host")
+	set.StringVar((*string)(&st.DataCentre), "data-centre", string(st.DataCentre), "data centre of this host, as the fleet names it")
+	set.StringVar(&st.Listen, "listen", st.Listen, "address for callers, an IP number with a port")
+	set.StringVar(&st.OperatorListen, "operator-listen", st.OperatorListen, "address for operators, an IP number with a port")
+	set.StringVar(&st.Platform, "platform", st.Platform, "address of the platform's configuration service")
+	set.StringVar(&st.TLSCert, "tls-cert", st.TLSCert, "certificate file of the callers' listener; loaded again when it changes")
+	set.StringVar(&st.TLSKey, "tls-key", st.TLSKey, "key file of the callers' listener; loaded again when it changes")
+	set.DurationVar(&st.LameDuck, "lame-duck", st.LameDuck, "how long a stopping host goes on accepting requests")
+	set.DurationVar(&st.DrainTimeout, "drain-timeout", st.DrainTimeout, "longest wait for requests in progress when stopping")
+	set.DurationVar(&st.Silence, "silence", st.Silence, "how long an engine's stream may send nothing before it is resumed elsewhere")
+	set.Int64Var((*int64)(&st.BodyLimit), "body-limit", int64(st.BodyLimit), "largest body of a request, in bytes")
+}
+
+func (se *serve) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	logger, err := newLogger(se.stderr, se.level)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ho, stop, err := host.New(se.settings, host.WithLogger(logger), host.WithVersion(versionText()))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer stop()
+	return untilSignal(ctx, ho)
+}
+
+// untilSignal waits for a signal to stop and drains the host.
+func untilSignal(ctx context.Context, ho *host.Host) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return errors.Trace(ho.Drain(context.WithoutCancel(ctx)))
+	case err := <-ho.Failed():
+		return errors.Trace(err)
+	}
+}
+
+func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		return zerolog.Logger{}, errors.NotValidf("log level %q (want debug, info, warn or error)", level)
+	}
+	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
+}
--- /dev/null
+++ b/config/defaults.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+const (
+	defaultContextTokens         mp.Tokens          = 8192
+	defaultSlots                                    = 32
+	defaultTokensPerSecondOfSlot mp.TokensPerSecond = 40
+
+	defaultServiceTimeout = mp.Duration(30 * time.Second)
+	defaultLongestWait    = mp.Duration(10 * time.Second)
+	defaultFirstToken     = mp.Duration(900 * time.Millisecond)
+	defaultBetweenTokens  = mp.Duration(54 * time.Millisecond)
+	defaultWholeAnswer    = mp.Duration(2 * time.Second)
+)
+
+// setDefaults fills every field that was left out.
+func (fl *Fleet) setDefaults() {
+	for ix := range fl.Models {
+		orDefault(&fl.Models[ix].ContextTokens, defaultContextTokens)
+	}
+	for ix := range fl.Engines {
+		en := &fl.Engines[ix]
+		orDefault(&en.Slots, defaultSlots)
+		orDefault(&en.TokensPerSecond, defaultTokensPerSecondOfSlot*mp.TokensPerSecond(en.Slots))
+		orDefault(&en.State, StateLive)
+	}
+	for ix := range fl.Services {
+		fl.Services[ix].setDefaults()
+	}
+}
+
+func (se *Service) setDefaults() {
+	orDefault(&se.Timeout, defaultServiceTimeout)
+	for ix := range se.Replicas {
+		orDefault(&se.Replicas[ix].State, StateLive)
+	}
+}
+
+// setDefaults fills every field that was left out.
+func (co *Contract) setDefaults() {
+	if len(co.Classes) > 0 {
+		orDefault(&co.DefaultClass, co.Classes[0].Name)
+	}
+	for ix := range co.Classes {
+		cl := &co.Classes[ix]
+		orDefault(&cl.LongestWait, defaultLongestWait)
+		orDefault(&cl.Targets.FirstToken, defaultFirstToken)
+		orDefault(&cl.Targets.BetweenTokens, defaultBetweenTokens)
+		orDefault(&cl.Targets.WholeAnswer, defaultWholeAnswer)
+	}
+}
+
+// orDefault stores the default in a field that has its zero value.
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/config/directory.go
@@ -0,0 +1,52 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/juju/errors"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+const (
+	fleetFile    = "fleet.json"
+	contractsDir = "contracts"
+	fileSuffix   = ".json"
+)
+
+// ReadDirectory returns the values under a directory: fleet.json and
+// contracts/NAME.json.
+func ReadDirectory(dir string) (map[mp.ConfigKey]mp.Value, error) {
+	values := map[mp.ConfigKey]mp.Value{}
+	fleet, err := os.ReadFile(filepath.Join(dir, fleetFile))
+	if err != nil && !os.IsNotExist(err) {
+		return nil, errors.Trace(err)
+	}
+	if err == nil {
+		values[FleetKey] = mp.Value{Key: FleetKey, Value: fleet}
+	}
+	paths, err := filepath.Glob(filepath.Join(dir, contractsDir, "*"+fileSuffix))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for _, path := range paths {
+		value, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		name := strings.TrimSuffix(filepath.Base(path), fileSuffix)
+		key := ContractKey(mp.OrganisationID(name))
+		values[key] = mp.Value{Key: key, Value: value}
+	}
+	if len(values) == 0 {
+		return nil, errors.NotFoundf("%s or %s/*%s in directory %q", fleetFile, contractsDir, fileSuffix, dir)
+	}
+	return values, nil
+}
+
+// FileOf returns the path of a key's file below a directory.
+func FileOf(key mp.ConfigKey) string {
+	return string(key) + fileSuffix
+}
--- /dev/null
+++ b/config/set.go
@@ -0,0 +1,164 @@
+package config
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/juju/errors"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+// FleetKey is the key of the fleet's value in a published set.
+const FleetKey mp.ConfigKey = "fleet"
+
+// contractPrefix begins the key of every contract's value.
+const contractPrefix = "contracts/"
+
+// ContractKey returns the key of an organisation's contract.
+func ContractKey(organisation mp.OrganisationID) mp.ConfigKey {
+	return mp.ConfigKey(contractPrefix + string(organisation))
+}
+
+// Set is one configuration set: the fleet and every contract, applied as a
+// whole or not at all.
+type Set struct {
+	Revision  mp.Revision `json:"revision"`
+	Fleet     Fleet       `json:"fleet"`
+	Contracts []*Contract `json:"contracts"`
+}
+
+// Decoder turns published values into a checked set. It remembers decoded
+// values by their revision, so that a change costs the work of one value. It is
+// not safe for concurrent use.
+type Decoder struct {
+	schemas *schemas
+	decoded map[mp.ConfigKey]decoded
+}
+
+// decoded is one decoded value, with defaults filled.
+type decoded struct {
+	revision mp.Revision
+	fleet    *Fleet
+	contract *Contract
+	faults   Faults
+}
+
+// NewDecoder returns a decoder. It fails only if the built-in schemas are
+// broken.
+func NewDecoder() (*Decoder, error) {
+	compiled, err := newSchemas()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Decoder{schemas: compiled, decoded: map[mp.ConfigKey]decoded{}}, nil
+}
+
+// Decode returns the set of the values, with defaults filled. The set is nil if
+// any fault is fatal. Values of revision zero are decoded every time.
+func (de *Decoder) Decode(revision mp.Revision, values map[mp.ConfigKey]mp.Value) (*Set, Faults) {
+	set := &Set{Revision: revision}
+	var faults Faults
+	if _, ok := values[FleetKey]; !ok {
+		faults = append(faults, Fault{Key: FleetKey, Problem: "is missing; the set needs one fleet"})
+	}
+	for _, key := range sortedKeys(values) {
+		dv := de.value(key, values[key])
+		faults = append(faults, dv.faults...)
+		set.add(dv)
+	}
+	de.forgetBut(values)
+	if faults.Fatal() {
+		return nil, faults.sorted()
+	}
+	faults = append(faults, check(set)...)
+	if faults.Fatal() {
+		return nil, faults.sorted()
+	}
+	return set, faults.sorted()
+}
+
+func (se *Set) add(dv decoded) {
+	if dv.fleet != nil {
+		se.Fleet = *dv.fleet
+	}
+	if dv.contract != nil {
+		se.Contracts = append(se.Contracts, dv.contract)
+	}
+}
+
+func (de *Decoder) value(key mp.ConfigKey, value mp.Value) decoded {
+	known, ok := de.decoded[key]
+	if ok && value.Revision > 0 && known.revision == value.Revision {
+		return known
+	}
+	dv := de.decodeValue(key, value.Value)
+	dv.revision = value.Revision
+	de.decoded[key] = dv
+	return dv
+}
+
+func (de *Decoder) forgetBut(values map[mp.ConfigKey]mp.Value) {
+	for key := range de.decoded {
+		if _, ok := values[key]; !ok {
+			delete(de.decoded, key)
+		}
+	}
+}
+
+func (de *Decoder) decodeValue(key mp.ConfigKey, value []byte) decoded {
+	switch {
+	case key == FleetKey:
+		return de.decodeFleet(key, value)
+	case strings.HasPrefix(string(key), contractPrefix):
+		return de.decodeContract(key, value)
+	default:
+		return decoded{faults: Faults{{Key: key, Problem: "is no known key (want \"fleet\" or \"contracts/NAME\")"}}}
+	}
+}
+
+func (de *Decoder) decodeFleet(key mp.ConfigKey, value []byte) decoded {
+	if faults := de.schemas.faults(de.schemas.fleet, key, value); faults != nil {
+		return decoded{faults: faults}
+	}
+	fl := &Fleet{}
+	if faults := unmarshal(key, value, fl); faults != nil {
+		return decoded{faults: faults}
+	}
+	fl.setDefaults()
+	return decoded{fleet: fl}
+}
+
+func (de *Decoder) decodeContract(key mp.ConfigKey, value []byte) decoded {
+	if faults := de.schemas.faults(de.schemas.contract, key, value); faults != nil {
+		return decoded{faults: faults}
+	}
+	co := &Contract{}
+	if faults := unmarshal(key, value, co); faults != nil {
+		return decoded{faults: faults}
+	}
+	if key != ContractKey(co.Organisation) {
+		problem := "is " + quote(co.Organisation) + " but the key names another organisation"
+		return decoded{faults: Faults{{Key: key, Path: "/organisation", Problem: problem}}}
+	}
+	co.setDefaults()
+	return decoded{contract: co}
+}
+
+func unmarshal(key mp.ConfigKey, value []byte, into any) Faults {
+	if err := json.Unmarshal(value, into, json.RejectUnknownMembers(true)); err != nil {
+		return Faults{{Key: key, Problem: err.Error()}}
+	}
+	return nil
+}
+
+func sortedKeys(values map[mp.ConfigKey]mp.Value) []mp.ConfigKey {
+	keys := make([]mp.ConfigKey, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(a, b int) bool { return keys[a] < keys[b] })
+	return keys
+}
--- /dev/null
+++ b/engine/failure.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// errSilent is the cause of a run that was ended because nothing came.
+const errSilent = errors.ConstError("the engine sent nothing for too long")
+
+// Stage is how far a run came before it failed.
+type Stage int
+
+// The stages.
+const (
+	// StageSend is before the engine answered.
+	StageSend Stage = iota
+	// StageRefused is an answer that is not a stream.
+	StageRefused
+	// StageStream is in the middle of the stream.
+	StageStream
+)
+
+// Failure is a run that an engine did not complete.
+type Failure struct {
+	Stage Stage
+	// Status and Body are the engine's answer, at StageRefused.
+	Status int
+	Body   []byte
+	// Silent says that the engine sent nothing for too long.
+	Silent bool
+
+	cause error
+}
+
+// Error returns what went wrong.
+func (fa *Failure) Error() string {
+	switch {
+	case fa.Stage == StageRefused:
+		return fmt.Sprintf("the engine answered with status %d", fa.Status)
+	case fa.Silent:
+		return errSilent.Error()
+	case fa.cause != nil:
+		return "the connection to the engine broke: " + fa.cause.Error()
+	default:
+		return "the engine's stream ended before its last event"
+	}
+}
+
+// Unwrap returns the cause.
+func (fa *Failure) Unwrap() error { return fa.cause }
+
+// CallersFault says that another engine would refuse the request too.
+func (fa *Failure) CallersFault() bool {
+	if fa.Stage != StageRefused || fa.Status >= http.StatusInternalServerError {
+		return false
+	}
+	switch fa.Status {
+	case http.StatusNotFound, http.StatusConflict, http.StatusRequestTimeout, http.StatusTooManyRequests:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,178 @@
+package mangopaddle
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Kind is one of the closed list of error kinds. It decides what a caller is
+// told.
+type Kind int
+
+// The error kinds.
+const (
+	KindInternal Kind = iota
+	KindInvalidRequest
+	KindRequestTooLarge
+	KindUnauthorized
+	KindClassNotAllowed
+	KindModelNotAllowed
+	KindNotFound
+	KindMethodNotAllowed
+	KindModelNotFound
+	KindServiceNotFound
+	KindShareExceeded
+	KindOverloaded
+	KindWaitExpired
+	KindNoBackend
+	KindStopping
+	KindNotConfigured
+	KindBackendFailed
+	KindOutcomeUnknown
+	KindCallerGone
+	kindCount
+)
+
+// Answer is what a caller is told for an error kind.
+type Answer struct {
+	// Code is the machine-readable name of the kind.
+	Code string
+	// Type is the error type that clients of the chat completions API expect.
+	Type string
+	// Status is the HTTP status.
+	Status int
+	// NotRun says that it is certain that nothing of the request ran.
+	NotRun bool
+	// Retryable says that the same request may succeed later.
+	Retryable bool
+	// RetryAfter is the default wait before a retry; zero gives no header.
+	RetryAfter time.Duration
+}
+
+const (
+	typeInvalidRequest = "invalid_request_error"
+	typeAuthentication = "authentication_error"
+	typePermission     = "permission_error"
+	typeRateLimit      = "rate_limit_error"
+	typeServer         = "server_error"
+)
+
+// statusCallerGone is written to logs and metrics only; the caller has left.
+const statusCallerGone = 499
+
+var answers = [kindCount]Answer{
+	KindInternal:         {Code: "internal", Type: typeServer, Status: http.StatusInternalServerError},
+	KindInvalidRequest:   {Code: "invalid_request", Type: typeInvalidRequest, Status: http.StatusBadRequest, NotRun: true},
+	KindRequestTooLarge:  {Code: "request_too_large", Type: typeInvalidRequest, Status: http.StatusRequestEntityTooLarge, NotRun: true},
+	KindUnauthorized:     {Code: "unauthorized", Type: typeAuthentication, Status: http.StatusUnauthorized, NotRun: true},
+	KindClassNotAllowed:  {Code: "class_not_allowed", Type: typePermission, Status: http.StatusForbidden, NotRun: true},
+	KindModelNotAllowed:  {Code: "model_not_allowed", Type: typePermission, Status: http.StatusForbidden, NotRun: true},
+	KindNotFound:         {Code: "not_found", Type: typeInvalidRequest, Status: http.StatusNotFound, NotRun: true},
+	KindMethodNotAllowed: {Code: "method_not_allowed", Type: typeInvalidRequest, Status: http.StatusMethodNotAllowed, NotRun: true},
+	KindModelNotFound:    {Code: "model_not_found", Type: typeInvalidRequest, Status: http.StatusNotFound, NotRun: true},
+	KindServiceNotFound:  {Code: "service_not_found", Type: typeInvalidRequest, Status: http.StatusNotFound, NotRun: true},
+	KindShareExceeded:    {Code: "share_exceeded", Type: typeRateLimit, Status: http.StatusTooManyRequests, NotRun: true, Retryable: true, RetryAfter: time.Second},
+	KindOverloaded:       {Code: "overloaded", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 2 * time.Second},
+	KindWaitExpired:      {Code: "wait_expired", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 2 * time.Second},
+	KindNoBackend:        {Code: "no_backend", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 5 * time.Second},
+	KindStopping:         {Code: "stopping", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
+	KindNotConfigured:    {Code: "not_configured", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
+	KindBackendFailed:    {Code: "backend_failed", Type: typeServer, Status: http.StatusBadGateway, Retryable: true},
+	KindOutcomeUnknown:   {Code: "outcome_unknown", Type: typeServer, Status: http.StatusGatewayTimeout},
+	KindCallerGone:       {Code: "caller_gone", Type: typeServer, Status: statusCallerGone},
+}
+
+// Kinds returns every error kind, in the order of the list.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, kindCount)
+	for ki := range kindCount {
+		kinds = append(kinds, ki)
+	}
+	return kinds
+}
+
+// Answer returns what a caller is told for the kind.
+func (ki Kind) Answer() Answer {
+	if ki < 0 || ki >= kindCount {
+		return answers[KindInternal]
+	}
+	return answers[ki]
+}
+
+// String returns the machine-readable name of the kind.
+func (ki Kind) String() string {
+	return ki.Answer().Code
+}
+
+// Error is an error with a kind.
+type Error struct {
+	// Kind decides the answer.
+	Kind Kind
+	// RetryAfter overrides the default wait of the kind when positive.
+	RetryAfter time.Duration
+
+	message string
+	cause   error
+}
+
+// NewError returns an error of the kind with a formatted message.
+func NewError(kind Kind, format string, args ...any) *Error {
+	return &Error{Kind: kind, message: fmt.Sprintf(format, args...)}
+}
+
+// WrapError returns an error of the kind that keeps its cause for logs.
+func WrapError(cause error, kind Kind, format string, args ...any) *Error {
+	er := NewError(kind, format, args...)
+	er.cause = cause
+	return er
+}
+
+// WithRetryAfter sets the wait before a retry and returns the error.
+func (er *Error) WithRetryAfter(wait time.Duration) *Error {
+	er.RetryAfter = wait
+	return er
+}
+
+// Message returns the text that a caller may see. It leaves out the cause.
+func (er *Error) Message() string {
+	return er.message
+}
+
+// Error returns the message and the cause.
+func (er *Error) Error() string {
+	if er.cause == nil {
+		return er.message
+	}
+	return er.message + ": " + er.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (er *Error) Unwrap() error {
+	return er.cause
+}
+
+// Wait returns how long a caller should wait before a retry; zero if a retry
+// does not help.
+func (er *Error) Wait() time.Duration {
+	if er.RetryAfter > 0 {
+		return er.RetryAfter
+	}
+	return er.Kind.Answer().RetryAfter
+}
+
+// AsError returns err as an *Error. An error of no kind becomes an internal
+// one.
+func AsError(err error) *Error {
+	if found, ok := errors.AsType[*Error](err); ok {
+		return found
+	}
+	return WrapError(err, KindInternal, "internal error")
+}
+
+// KindOf returns the kind of err, KindInternal if it has none.
+func KindOf(err error) Kind {
+	return AsError(err).Kind
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,269 @@
+// Package host puts an entry host together: the control loop, the scheduler, the
+// listeners, and a graceful shutdown.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/caller"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/configapply"
+	"github.com/mangopaddle/mangopaddle/control"
+	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/meter"
+	"github.com/mangopaddle/mangopaddle/metrics"
+	"github.com/mangopaddle/mangopaddle/operator"
+	"github.com/mangopaddle/mangopaddle/pausewatch"
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/pool"
+	"github.com/mangopaddle/mangopaddle/publish"
+	"github.com/mangopaddle/mangopaddle/schedule"
+	"github.com/mangopaddle/mangopaddle/serverlist"
+	"github.com/mangopaddle/mangopaddle/service"
+	"github.com/mangopaddle/mangopaddle/tlsfiles"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 32 << 10 // bytes
+)
+
+// Host is a running entry host.
+type Host struct {
+	settings config.Settings
+	clock    clockwork.Clock
+	logger   zerolog.Logger
+	version  string
+
+	view      *blackboard.View
+	loop      *control.Loop
+	meter     *meter.Meter
+	callers   *http.Server
+	operators *http.Server
+
+	callerAddress   net.Addr
+	operatorAddress net.Addr
+	cleanups        []func()
+	failed          chan error
+	drain           sync.Once
+}
+
+// Option changes a host under construction.
+type Option func(*Host)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(ho *Host) { ho.clock = clock }
+}
+
+// WithLogger sets where changes of state are logged.
+func WithLogger(logger zerolog.Logger) Option {
+	return func(ho *Host) { ho.logger = logger }
+}
+
+// WithVersion sets the version that operators see.
+func WithVersion(version string) Option {
+	return func(ho *Host) { ho.version = version }
+}
+
+// New starts a host and returns it with a function that ends it at once. For a
+// graceful shutdown call Drain first.
+func New(settings config.Settings, opts ...Option) (*Host, func(), error) {
+	if err := settings.Check(); err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	ho := &Host{
+		settings: settings,
+		clock:    clockwork.NewRealClock(),
+		logger:   zerolog.Nop(),
+		view:     blackboard.NewView(),
+		failed:   make(chan error, 2),
+	}
+	for _, opt := range opts {
+		opt(ho)
+	}
+	if err := ho.build(); err != nil {
+		ho.close()
+		return nil, nil, errors.Trace(err)
+	}
+	return ho, ho.close, nil
+}
+
+func (ho *Host) build() error {
+	scope, exposition, closeMetrics, err := metrics.New()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ho.addCleanup(closeMetrics)
+	ho.meter = meter.New(scope, meter.WithClock(ho.clock))
+
+	po, stopPool := pool.New(schedule.New(schedule.WithSeed(seedOf(settingsName(ho.settings)))), pool.WithClock(ho.clock))
+	ho.addCleanup(stopPool)
+	if err := ho.startLoop(po, scope); err != nil {
+		return errors.Trace(err)
+	}
+	ho.addCleanup(platform.New(ho.settings.Platform, ho.loop, platform.WithClock(ho.clock)))
+
+	engines, closeEngines := engine.New(engine.WithClock(ho.clock), engine.WithSilence(ho.settings.Silence))
+	ho.addCleanup(closeEngines)
+	services, closeServices := service.New()
+	ho.addCleanup(closeServices)
+
+	limits := caller.DefaultLimits()
+	limits.Body = ho.settings.BodyLimit
+	callers := caller.New(ho.view, po, engines, services, ho.meter,
+		caller.WithClock(ho.clock), caller.WithLimits(limits), caller.WithLogger(ho.logger))
+	operators := operator.New(ho.loop, ho.view, po, ho.meter, exposition, ho.version)
+	return ho.listen(callers.Handler(), operators.Handler())
+}
+
+func (ho *Host) startLoop(po *pool.Pool, scope tally.Scope) error {
+	decoder, err := config.NewDecoder()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	controllers := []control.Controller{
+		pausewatch.New(),
+		configapply.New(decoder, ho.logger, scope),
+		serverlist.New(),
+		publish.New(ho.view, po),
+	}
+	loop, stop := control.New(blackboard.New(ho.settings.Host, ho.settings.DataCentre), controllers,
+		control.WithClock(ho.clock), control.WithLogger(ho.logger), control.WithScope(scope))
+	ho.loop = loop
+	ho.addCleanup(stop)
+	return nil
+}
+
+// listen opens both listeners and serves them.
+func (ho *Host) listen(callers, operators http.Handler) error {
+	secure, err := ho.tlsConfig()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	callerListener, err := net.Listen("tcp", ho.settings.Listen)
+	if err != nil {
+		return errors.Annotate(err, "listener for callers")
+	}
+	operatorListener, err := net.Listen("tcp", ho.settings.OperatorListen)
+	if err != nil {
+		_ = callerListener.Close()
+		return errors.Annotate(err, "listener for operators")
+	}
+	ho.callerAddress, ho.operatorAddress = callerListener.Addr(), operatorListener.Addr()
+	if secure != nil {
+		callerListener = tls.NewListener(callerListener, secure)
+	}
+	ho.callers, ho.operators = newServer(callers), newServer(operators)
+	ho.serve(ho.callers, callerListener)
+	ho.serve(ho.operators, operatorListener)
+	ho.logger.Info().
+		Str("host", string(ho.settings.Host)).
+		Stringer("callers", ho.callerAddress).
+		Stringer("operators", ho.operatorAddress).
+		Msg("host started")
+	return nil
+}
+
+func (ho *Host) tlsConfig() (*tls.Config, error) {
+	if ho.settings.TLSCert == "" {
+		return nil, nil
+	}
+	files, err := tlsfiles.New(ho.settings.TLSCert, ho.settings.TLSKey, tlsfiles.WithClock(ho.clock))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return files.Config(), nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+func (ho *Host) serve(server *http.Server, listener net.Listener) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			ho.failed <- errors.Trace(err)
+		}
+	}()
+	ho.addCleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+}
+
+func (ho *Host) addCleanup(cleanup func()) {
+	ho.cleanups = append(ho.cleanups, cleanup)
+}
+
+// close runs the clean-ups, the newest first.
+func (ho *Host) close() {
+	for ix := len(ho.cleanups) - 1; ix >= 0; ix-- {
+		ho.cleanups[ix]()
+	}
+	ho.cleanups = nil
+}
+
+// CallerAddress returns where callers are served.
+func (ho *Host) CallerAddress() string { return ho.callerAddress.String() }
+
+// OperatorAddress returns where operators are served.
+func (ho *Host) OperatorAddress() string { return ho.operatorAddress.String() }
+
+// Failed returns a channel that brings the error of a listener that broke.
+func (ho *Host) Failed() <-chan error { return ho.failed }
+
+// Ready says whether the host has a configuration.
+func (ho *Host) Ready() bool { return ho.view.Load() != nil }
+
+// stopping marks the host as one that stops.
+type stopping struct{}
+
+// Apply implements blackboard.Message.
+func (stopping) Apply(bo *blackboard.Board) {
+	bo.Stopping = true
+	bo.Changed = true
+}
+
+// Drain is a graceful shutdown: the host says that it is not ready, accepts
+// requests for the lame-duck time, and finishes those in progress.
+func (ho *Host) Drain(ctx context.Context) error {
+	var err error
+	ho.drain.Do(func() { err = ho.drainOnce(ctx) })
+	return err
+}
+
+func (ho *Host) drainOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, ho.settings.LameDuck+ho.settings.DrainTimeout)
+	defer cancel()
+	ho.loop.Post(stopping{})
+	ho.logger.Info().Int64("in_flight", ho.meter.InFlight()).Msg("host stopping")
+	select {
+	case <-ho.clock.After(ho.settings.LameDuck):
+	case <-ctx.Done():
+	}
+	if err := ho.callers.Shutdown(ctx); err != nil {
+		return errors.Annotatef(err, "%d requests were still in progress", ho.meter.InFlight())
+	}
+	ho.logger.Info().Msg("host drained")
+	return nil
+}
--- /dev/null
+++ b/meter/class.go
@@ -0,0 +1,173 @@
+package meter
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+const (
+	shortStep  = time.Minute
+	shortCount = 5
+	longStep   = 5 * time.Minute
+	longCount  = 12
+)
+
+// ShortWindow and LongWindow are the spans over which burn rates are given.
+const (
+	ShortWindow = shortStep * shortCount
+	LongWindow  = longStep * longCount
+)
+
+// Counts is how often a target was met and missed.
+type Counts struct {
+	Met    uint64 `json:"met"`
+	Missed uint64 `json:"missed"`
+}
+
+// slot is the counts of one step of a window.
+type slot struct {
+	number int64 // of the step since the epoch
+	counts [targetCount]shortCounts
+}
+
+// shortCounts keeps a step's counts in little memory.
+type shortCounts struct {
+	met, missed uint32
+}
+
+// Class is the outcomes of one organisation's class since the host started.
+type Class struct {
+	Organisation mp.OrganisationID
+	Name         mp.ClassName
+	Tier         mp.Tier
+
+	Requests  uint64
+	Completed uint64
+	// Goodput counts the tokens of answers that callers have whole.
+	Goodput  mp.Tokens
+	Wasted   [wasteCount]mp.Tokens
+	Failures map[mp.Kind]uint64
+	Targets  [targetCount]Counts
+
+	short [shortCount]slot
+	long  [longCount]slot
+}
+
+func newClass(organisation mp.OrganisationID, class *config.Class) *Class {
+	return &Class{Organisation: organisation, Name: class.Name, Tier: class.Tier, Failures: map[mp.Kind]uint64{}}
+}
+
+func (cl *Class) add(now time.Time, ta Target, met, missed uint64) {
+	if met+missed == 0 {
+		return
+	}
+	cl.Targets[ta].Met += met
+	cl.Targets[ta].Missed += missed
+	slotAt(cl.short[:], now, shortStep).add(ta, met, missed)
+	slotAt(cl.long[:], now, longStep).add(ta, met, missed)
+}
+
+func (sl *slot) add(ta Target, met, missed uint64) {
+	sl.counts[ta].met += uint32(met)
+	sl.counts[ta].missed += uint32(missed)
+}
+
+// slotAt returns the slot of the step that contains the time. Steps begin at
+// the same clock values on every host.
+func slotAt(ring []slot, now time.Time, step time.Duration) *slot {
+	number := now.UnixNano() / int64(step)
+	sl := &ring[number%int64(len(ring))]
+	if sl.number != number {
+		*sl = slot{number: number}
+	}
+	return sl
+}
+
+// window adds up the steps of a ring that are not over.
+func window(ring []slot, now time.Time, step time.Duration, ta Target) Counts {
+	number := now.UnixNano() / int64(step)
+	var total Counts
+	for ix := range ring {
+		if number-ring[ix].number < int64(len(ring)) {
+			total.Met += uint64(ring[ix].counts[ta].met)
+			total.Missed += uint64(ring[ix].counts[ta].missed)
+		}
+	}
+	return total
+}
+
+// TargetReport is the outcomes of one target.
+type TargetReport struct {
+	Total Counts `json:"total"`
+	Short Counts `json:"short"`
+	Long  Counts `json:"long"`
+}
+
+// ClassReport is the outcomes of a class, for operators.
+type ClassReport struct {
+	Organisation mp.OrganisationID       `json:"organisation"`
+	Class        mp.ClassName            `json:"class"`
+	Tier         mp.Tier                 `json:"tier"`
+	Requests     uint64                  `json:"requests"`
+	Completed    uint64                  `json:"completed"`
+	Goodput      mp.Tokens               `json:"goodput_tokens"`
+	Wasted       map[string]mp.Tokens    `json:"wasted_tokens,omitempty"`
+	Failures     map[string]uint64       `json:"failures,omitempty"`
+	Targets      map[string]TargetReport `json:"targets"`
+}
+
+func (cl *Class) report(now time.Time) ClassReport {
+	cr := ClassReport{
+		Organisation: cl.Organisation,
+		Class:        cl.Name,
+		Tier:         cl.Tier,
+		Requests:     cl.Requests,
+		Completed:    cl.Completed,
+		Goodput:      cl.Goodput,
+		Wasted:       map[string]mp.Tokens{},
+		Failures:     map[string]uint64{},
+		Targets:      map[string]TargetReport{},
+	}
+	for wa, tokens := range cl.Wasted {
+		if tokens > 0 {
+			cr.Wasted[Waste(wa).String()] = tokens
+		}
+	}
+	for kind, count := range cl.Failures {
+		cr.Failures[kind.String()] = count
+	}
+	for ta := range targetCount {
+		if cl.Targets[ta] == (Counts{}) {
+			continue
+		}
+		cr.Targets[ta.String()] = TargetReport{
+			Total: cl.Targets[ta],
+			Short: window(cl.short[:], now, shortStep, ta),
+			Long:  window(cl.long[:], now, longStep, ta),
+		}
+	}
+	return cr
+}
+
+// Report returns the outcomes of every class that had a request, in the order
+// of organisations and classes.
+func (me *Meter) Report() []ClassReport {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := me.clock.Now()
+	reports := make([]ClassReport, 0, len(me.classes))
+	for _, cl := range me.classes {
+		reports = append(reports, cl.report(now))
+	}
+	slices.SortFunc(reports, func(a, b ClassReport) int {
+		if by := strings.Compare(string(a.Organisation), string(b.Organisation)); by != 0 {
+			return by
+		}
+		return strings.Compare(string(a.Class), string(b.Class))
+	})
+	return reports
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,149 @@
+// Package operator serves the operators of a host: metrics, health, the state of
+// the blackboard and profiles.
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/control"
+	"github.com/mangopaddle/mangopaddle/meter"
+	"github.com/mangopaddle/mangopaddle/pool"
+	"github.com/mangopaddle/mangopaddle/schedule"
+)
+
+// Server answers operators.
+type Server struct {
+	loop    *control.Loop
+	view    *blackboard.View
+	pool    *pool.Pool
+	meter   *meter.Meter
+	metrics http.Handler
+	version string
+}
+
+// New returns a server.
+func New(loop *control.Loop, view *blackboard.View, po *pool.Pool, me *meter.Meter, metrics http.Handler, version string) *Server {
+	return &Server{loop: loop, view: view, pool: po, meter: me, metrics: metrics, version: version}
+}
+
+// Handler returns the HTTP interface for operators.
+func (se *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", se.metrics)
+	mux.HandleFunc("GET /healthz", se.serveHealth)
+	mux.HandleFunc("GET /readyz", se.serveReady)
+	mux.HandleFunc("GET /debug/state", se.serveState)
+	mux.HandleFunc("GET /debug/outcomes", se.serveOutcomes)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// serveHealth says whether the control goroutine is alive.
+func (se *Server) serveHealth(rw http.ResponseWriter, _ *http.Request) {
+	if err := se.loop.Inspect(func(*blackboard.Board) {}); err != nil {
+		http.Error(rw, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeText(rw, "ok\n")
+}
+
+// serveReady says whether the host should get new requests.
+func (se *Server) serveReady(rw http.ResponseWriter, _ *http.Request) {
+	sn := se.view.Load()
+	switch {
+	case sn == nil:
+		http.Error(rw, "no configuration yet", http.StatusServiceUnavailable)
+	case sn.Stopping:
+		http.Error(rw, "stopping", http.StatusServiceUnavailable)
+	default:
+		writeText(rw, "ready\n")
+	}
+}
+
+// State is what /debug/state shows.
+type State struct {
+	Version    string          `json:"version"`
+	Host       mp.HostID       `json:"host"`
+	DataCentre mp.DataCentreID `json:"data_centre"`
+	Now        time.Time       `json:"now"`
+	Stopping   bool            `json:"stopping"`
+	InFlight   int64           `json:"in_flight"`
+
+	Revision   mp.Revision         `json:"config_revision"`
+	ConfigAt   time.Time           `json:"config_at,omitzero"`
+	Refused    *blackboard.Refusal `json:"config_refused,omitempty"`
+	PlatformAt time.Time           `json:"platform_at,omitzero"`
+
+	Hosts          int                    `json:"hosts"`
+	Machines       mp.HostList            `json:"machines"`
+	LeavingServers map[string]bool        `json:"leaving_servers"`
+	Pauses         int                    `json:"pauses"`
+	PausedAt       time.Time              `json:"paused_at,omitzero"`
+	Fleet          config.Fleet           `json:"fleet"`
+	Organisations  int                    `json:"organisations"`
+	Engines        []schedule.EngineState `json:"engines"`
+	Waiting        [mp.TierCount]int      `json:"waiting_by_tier"`
+}
+
+func (se *Server) serveState(rw http.ResponseWriter, _ *http.Request) {
+	state := State{Version: se.version, InFlight: se.meter.InFlight()}
+	state.Engines, state.Waiting = se.pool.State()
+	if err := se.loop.Inspect(state.read); err != nil {
+		http.Error(rw, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(rw, state)
+}
+
+// read copies the blackboard. The maps and lists on it are replaced, never
+// changed, so that the copy may be used later.
+func (st *State) read(bo *blackboard.Board) {
+	st.Host, st.DataCentre, st.Now, st.Stopping = bo.Host, bo.DataCentre, bo.Now, bo.Stopping
+	st.ConfigAt, st.Refused, st.PlatformAt = bo.ConfigAt, bo.Refused, bo.PlatformAt
+	st.Hosts, st.Machines, st.LeavingServers = bo.Hosts, bo.Machines, bo.LeavingServers
+	st.Pauses, st.PausedAt = bo.Pauses, bo.PausedAt
+	if bo.Config != nil {
+		st.Revision = bo.Config.Revision
+		st.Fleet = bo.Config.Fleet
+		st.Organisations = len(bo.Config.Contracts)
+	}
+}
+
+// Outcomes is what /debug/outcomes shows.
+type Outcomes struct {
+	Host    mp.HostID           `json:"host"`
+	Now     time.Time           `json:"now"`
+	Classes []meter.ClassReport `json:"classes"`
+}
+
+func (se *Server) serveOutcomes(rw http.ResponseWriter, _ *http.Request) {
+	out := Outcomes{Classes: se.meter.Report()}
+	err := se.loop.Inspect(func(bo *blackboard.Board) { out.Host, out.Now = bo.Host, bo.Now })
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(rw, out)
+}
+
+func writeText(rw http.ResponseWriter, text string) {
+	rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_, _ = rw.Write([]byte(text))
+}
+
+func writeJSON(rw http.ResponseWriter, value any) {
+	rw.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(rw)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,229 @@
+// Package pool lets concurrent requests share one scheduler: it blocks a request
+// until the scheduler starts or refuses it.
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/schedule"
+)
+
+// pumpInterval is how often waiting requests are looked at without an event,
+// for changes that only time brings.
+const pumpInterval = 50 * time.Millisecond
+
+// Pool guards a scheduler.
+type Pool struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	scheduler *schedule.Scheduler
+	waiters   map[mp.RequestID]chan mp.Decision
+}
+
+// Option changes a pool under construction.
+type Option func(*Pool)
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option {
+	return func(po *Pool) { po.clock = clock }
+}
+
+// New returns a pool over the scheduler and a function that stops it.
+func New(scheduler *schedule.Scheduler, opts ...Option) (*Pool, func()) {
+	po := &Pool{
+		clock:     clockwork.NewRealClock(),
+		scheduler: scheduler,
+		waiters:   map[mp.RequestID]chan mp.Decision{},
+	}
+	for _, opt := range opts {
+		opt(po)
+	}
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := po.clock.NewTicker(pumpInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.Chan():
+				po.pump()
+			}
+		}
+	}()
+	return po, func() {
+		close(stop)
+		<-done
+	}
+}
+
+// Configure replaces the engines and the number of hosts.
+func (po *Pool) Configure(engines []schedule.Engine, hosts int) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.scheduler.SetEngines(engines)
+	po.scheduler.SetHosts(hosts)
+	po.pumpLocked()
+}
+
+// State returns what the scheduler knows, for operators.
+func (po *Pool) State() ([]schedule.EngineState, [mp.TierCount]int) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.scheduler.Engines(po.clock.Now()), po.scheduler.Waiting()
+}
+
+func (po *Pool) pump() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.pumpLocked()
+}
+
+// pumpLocked expires and starts waiting requests.
+func (po *Pool) pumpLocked() {
+	if len(po.waiters) == 0 {
+		return
+	}
+	now := po.clock.Now()
+	for {
+		id, ok := po.scheduler.Expire(now)
+		if !ok {
+			break
+		}
+		po.tell(id, mp.Decision{Verdict: mp.VerdictRefuse, Reason: mp.KindWaitExpired})
+	}
+	for {
+		st, ok := po.scheduler.Next(now)
+		if !ok {
+			break
+		}
+		po.tell(st.ID, mp.Decision{Verdict: mp.VerdictStart, Engine: st.Engine})
+	}
+}
+
+func (po *Pool) tell(id mp.RequestID, de mp.Decision) {
+	if waiter, ok := po.waiters[id]; ok {
+		waiter <- de // holds one decision, and gets only one
+		delete(po.waiters, id)
+	}
+}
+
+// Acquire blocks until the request may run on an engine. The error is an
+// *mangopaddle.Error of a kind that says that nothing ran.
+func (po *Pool) Acquire(ctx context.Context, wo mp.Work) (*Lease, error) {
+	po.mu.Lock()
+	de := po.scheduler.Arrive(po.clock.Now(), wo)
+	if de.Verdict != mp.VerdictWait {
+		po.mu.Unlock()
+		return po.lease(wo.ID, de)
+	}
+	waiter := make(chan mp.Decision, 1)
+	po.waiters[wo.ID] = waiter
+	po.mu.Unlock()
+
+	select {
+	case de = <-waiter:
+	case <-ctx.Done():
+		de = po.abandon(wo.ID, waiter)
+	}
+	return po.lease(wo.ID, de)
+}
+
+// abandon takes back a request whose caller has left. If the scheduler started
+// it in the meantime, the start is undone.
+func (po *Pool) abandon(id mp.RequestID, waiter chan mp.Decision) mp.Decision {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	select {
+	case de := <-waiter:
+		if de.Verdict == mp.VerdictStart {
+			po.scheduler.Done(po.clock.Now(), id, mp.Outcome{})
+			po.pumpLocked()
+		}
+	default:
+		po.scheduler.Abandon(po.clock.Now(), id)
+		delete(po.waiters, id)
+	}
+	return mp.Decision{Verdict: mp.VerdictRefuse, Reason: mp.KindCallerGone}
+}
+
+func (po *Pool) lease(id mp.RequestID, de mp.Decision) (*Lease, error) {
+	if de.Verdict == mp.VerdictRefuse {
+		return nil, refusal(de)
+	}
+	return &Lease{pool: po, id: id, engine: de.Engine, started: po.clock.Now()}, nil
+}
+
+func refusal(de mp.Decision) error {
+	return mp.NewError(de.Reason, "%s", refusalText(de.Reason)).WithRetryAfter(de.RetryAfter)
+}
+
+func refusalText(reason mp.Kind) string {
+	switch reason {
+	case mp.KindShareExceeded:
+		return "the organisation uses the most that its contract allows for this class; the request was not run"
+	case mp.KindOverloaded:
+		return "the request would wait longer than its class allows; it was not run"
+	case mp.KindWaitExpired:
+		return "no engine became free within the longest wait of the class; the request was not run"
+	case mp.KindNoBackend:
+		return "no engine serves this model now; the request was not run"
+	case mp.KindCallerGone:
+		return "the caller left while the request waited"
+	default:
+		return "the request could not be scheduled"
+	}
+}
+
+// Lease is a request's place on an engine.
+type Lease struct {
+	pool    *Pool
+	id      mp.RequestID
+	engine  mp.EngineID
+	started time.Time
+}
+
+// Engine returns the engine to run on.
+func (le *Lease) Engine() mp.EngineID { return le.engine }
+
+// Started returns when the engine was given to the request.
+func (le *Lease) Started() time.Time { return le.started }
+
+// ObserveLoad passes on the load that the engine reported.
+func (le *Lease) ObserveLoad(load mp.EngineLoad) {
+	le.pool.mu.Lock()
+	defer le.pool.mu.Unlock()
+	le.pool.scheduler.ObserveLoad(le.pool.clock.Now(), le.engine, load)
+}
+
+// Reassign moves the request to another engine after a failure. After an error
+// the lease is over.
+func (le *Lease) Reassign(outcome mp.Outcome) error {
+	po := le.pool
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	de := po.scheduler.Reassign(po.clock.Now(), le.id, outcome)
+	po.pumpLocked()
+	if de.Verdict == mp.VerdictRefuse {
+		return refusal(de)
+	}
+	le.engine, le.started = de.Engine, po.clock.Now()
+	return nil
+}
+
+// Release gives the place back.
+func (le *Lease) Release(outcome mp.Outcome) {
+	po := le.pool
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.scheduler.Done(po.clock.Now(), le.id, outcome)
+	po.pumpLocked()
+}
--- /dev/null
+++ b/quickstart/quickstart.go
@@ -0,0 +1,238 @@
+// Package quickstart runs a whole deployment in one process: an entry host with
+// stand-ins for two models, a plain service and the platform.
+package quickstart
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/fakeengine"
+	"github.com/mangopaddle/mangopaddle/fakeplatform"
+	"github.com/mangopaddle/mangopaddle/fakeservice"
+	"github.com/mangopaddle/mangopaddle/host"
+)
+
+// Key is the bearer key of the deployment's only organisation.
+const Key = "quickstart-key"
+
+// The names in the deployment.
+const (
+	Organisation mp.OrganisationID = "quickstart"
+	DataCentre   mp.DataCentreID   = "local-1"
+	ModelSmall   mp.ModelID        = "model-small"
+	ModelLarge   mp.ModelID        = "model-large"
+	Orders       mp.ServiceName    = "orders"
+	Interactive  mp.ClassName      = "interactive"
+	Batch        mp.ClassName      = "batch"
+)
+
+const (
+	enginesPerModel = 2
+	listenAnywhere  = "127.0.0.1:0"
+)
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Host     *host.Host
+	Engines  map[mp.EngineID]*fakeengine.Engine
+	Orders   *fakeservice.Service
+	Platform *fakeplatform.Platform
+	// Fleet is the published fleet.
+	Fleet config.Fleet
+
+	settings config.Settings
+	logger   zerolog.Logger
+	engine   []fakeengine.Option
+	contract *config.Contract
+	cleanups []func()
+}
+
+// Option changes a deployment under construction.
+type Option func(*Deployment)
+
+// WithSettings changes the settings of the host.
+func WithSettings(change func(*config.Settings)) Option {
+	return func(de *Deployment) { change(&de.settings) }
+}
+
+// WithLogger sets where the host logs.
+func WithLogger(logger zerolog.Logger) Option {
+	return func(de *Deployment) { de.logger = logger }
+}
+
+// WithEngineOptions changes the engine stand-ins.
+func WithEngineOptions(opts ...fakeengine.Option) Option {
+	return func(de *Deployment) { de.engine = append(de.engine, opts...) }
+}
+
+// WithContract changes the contract of the organisation.
+func WithContract(change func(*config.Contract)) Option {
+	return func(de *Deployment) { change(de.contract) }
+}
+
+// New starts a deployment and returns it with a function that ends it.
+func New(opts ...Option) (*Deployment, func(), error) {
+	de := &Deployment{
+		Engines:  map[mp.EngineID]*fakeengine.Engine{},
+		Orders:   fakeservice.New(),
+		Platform: fakeplatform.New(),
+		settings: config.DefaultSettings(),
+		logger:   zerolog.Nop(),
+		contract: defaultContract(),
+	}
+	de.settings.Host = "quickstart-1"
+	de.settings.DataCentre = DataCentre
+	de.settings.Listen = listenAnywhere
+	de.settings.OperatorListen = listenAnywhere
+	de.settings.LameDuck = 0
+	for _, opt := range opts {
+		opt(de)
+	}
+	if err := de.build(); err != nil {
+		de.close()
+		return nil, nil, errors.Trace(err)
+	}
+	return de, de.close, nil
+}
+
+func (de *Deployment) build() error {
+	de.Fleet = config.Fleet{
+		Regions: []config.Region{{Name: "local", DataCentres: []mp.DataCentreID{DataCentre}}},
+		Models:  []config.Model{{Name: ModelSmall}, {Name: ModelLarge}},
+	}
+	for _, model := range []mp.ModelID{ModelSmall, ModelLarge} {
+		for ix := range enginesPerModel {
+			if err := de.addEngine(model, ix); err != nil {
+				return errors.Trace(err)
+			}
+		}
+	}
+	if err := de.addOrders(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := de.Publish(); err != nil {
+		return errors.Trace(err)
+	}
+	address, err := de.Serve(de.Platform.Handler())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.settings.Platform = address
+	ho, stop, err := host.New(de.settings, host.WithLogger(de.logger))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.Host = ho
+	de.cleanups = append(de.cleanups, stop)
+	return de.awaitReady()
+}
+
+func (de *Deployment) addEngine(model mp.ModelID, number int) error {
+	id := mp.EngineID(string(model) + "-" + string(rune('a'+number)))
+	options := append([]fakeengine.Option{fakeengine.WithModels(model), fakeengine.WithFencing()}, de.engine...)
+	en, stop := fakeengine.New(options...)
+	de.cleanups = append(de.cleanups, stop)
+	address, err := de.Serve(en.Handler())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.Engines[id] = en
+	de.Fleet.Engines = append(de.Fleet.Engines, config.Engine{
+		Name: id, Address: address, DataCentre: DataCentre, Models: []mp.ModelID{model}, ChecksFencing: true,
+	})
+	return nil
+}
+
+func (de *Deployment) addOrders() error {
+	address, err := de.Serve(de.Orders.Handler())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.Fleet.Services = []config.Service{{
+		Name:     Orders,
+		Replicas: []config.Replica{{Name: "orders-1", Address: address, DataCentre: DataCentre}},
+		Timeout:  mp.Duration(5 * time.Second),
+	}}
+	return nil
+}
+
+func defaultContract() *config.Contract {
+	hash := sha256.Sum256([]byte(Key))
+	return &config.Contract{
+		Organisation: Organisation,
+		Keys:         []config.Key{{Name: "first", SHA256: hex.EncodeToString(hash[:])}},
+		DefaultClass: Interactive,
+		Classes: []config.Class{
+			{Name: Interactive, Tier: 0, Models: []mp.ModelID{config.AnyModel}, Services: []mp.ServiceName{Orders}, Share: config.Share{PromisedTokensPerSecond: 500}},
+			{Name: Batch, Tier: 3, Models: []mp.ModelID{config.AnyModel}, LongestWait: mp.Duration(time.Minute), Share: config.Share{PromisedTokensPerSecond: 100}},
+		},
+	}
+}
+
+// Publish publishes the fleet and the contract as a new revision.
+func (de *Deployment) Publish() error {
+	fleet, err := json.Marshal(de.Fleet)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	contract, err := json.Marshal(de.contract)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.Platform.Publish(map[mp.ConfigKey][]byte{
+		config.FleetKey:                  fleet,
+		config.ContractKey(Organisation): contract,
+	})
+	return nil
+}
+
+// Serve serves a handler on a free port of the loopback address until the
+// deployment ends, and returns the address.
+func (de *Deployment) Serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", listenAnywhere)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(listener)
+	}()
+	de.cleanups = append(de.cleanups, func() {
+		_ = server.Close()
+		<-done
+	})
+	return listener.Addr().String(), nil
+}
+
+const (
+	readyPoll  = 5 * time.Millisecond
+	readyLimit = 10 * time.Second
+)
+
+func (de *Deployment) awaitReady() error {
+	for waited := time.Duration(0); waited < readyLimit; waited += readyPoll {
+		if de.Host.Ready() {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.Timeoutf("configuration of the host")
+}
+
+func (de *Deployment) close() {
+	for ix := len(de.cleanups) - 1; ix >= 0; ix-- {
+		de.cleanups[ix]()
+	}
+	de.cleanups = nil
+}
--- /dev/null
+++ b/serverlist/serverlist.go
@@ -0,0 +1,70 @@
+// Package serverlist is the control step that works out which machines are
+// leaving, from the platform's list and the configuration, whichever says so
+// first.
+package serverlist
+
+import (
+	"maps"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+// Controller keeps the leaving machines on the board.
+type Controller struct{}
+
+// New returns the controller.
+func New() *Controller {
+	return &Controller{}
+}
+
+// Name implements mangopaddle.Controller.
+func (*Controller) Name() string { return "serverlist" }
+
+// Defaults implements mangopaddle.Controller.
+func (*Controller) Defaults() {}
+
+// Run updates the leaving servers and the number of hosts.
+func (*Controller) Run(bo *blackboard.Board) error {
+	leaving := leavingServers(bo)
+	if !maps.Equal(leaving, bo.LeavingServers) {
+		bo.LeavingServers = leaving
+		bo.Changed = true
+	}
+	hosts := liveHosts(bo)
+	if hosts != bo.Hosts {
+		bo.Hosts = hosts
+		bo.Changed = true
+	}
+	return nil
+}
+
+func leavingServers(bo *blackboard.Board) map[string]bool {
+	leaving := map[string]bool{}
+	for _, se := range bo.Machines.Servers {
+		if se.State == mp.ServerLeaving {
+			leaving[se.Name] = true
+		}
+	}
+	if bo.Config == nil {
+		return leaving
+	}
+	for _, en := range bo.Config.Fleet.Engines {
+		if en.State == config.StateLeaving {
+			leaving[string(en.Name)] = true
+		}
+	}
+	return leaving
+}
+
+// liveHosts counts the live hosts of the data centre; at least this one.
+func liveHosts(bo *blackboard.Board) int {
+	hosts := 0
+	for _, ho := range bo.Machines.Hosts {
+		if ho.DataCentre == bo.DataCentre && ho.State == mp.ServerLive {
+			hosts++
+		}
+	}
+	return max(1, hosts)
+}
