--- a/cmd/mangopaddle/healthcheck.go
+++ b/cmd/mangopaddle/healthcheck.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	defer response.Body.Close() //nolint:errcheck // nothing to do about it
+	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
 		return nil
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return cl.fail(ctx, rq, StageSend, err)
 	}
-	defer response.Body.Close() //nolint:errcheck // nothing to do about it
+	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		return refusal(response)
 	}
--- a/service/client.go
+++ b/service/client.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, sent.Load(), err
 	}
-	defer response.Body.Close() //nolint:errcheck // nothing to do about it
+	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxAnswer)+1))
 	if err != nil {
 		return nil, true, err
