Prove the path under failure, end to end

Cause: the thin path had two tests and no failure was ever met. Stand-ins run as processes of their own. A request that every engine refused is now answered as not run; a body behind the object is refused (before: the engine got it and the caller a 502). Seen: with the resume point forced to 0, the repeat of a sent call allowed, the graceful shutdown replaced by a close, the fresh connection for calls that may not be repeated replaced by kept ones, or the revision check off, the tests fail (TestBrokenAnswersAreResumedWhole, TestAnOrderIsNeverSentAgain, TestDrainCutsOffNoRequestInProgress, TestRevisionsOnlyRise); without the watchdog before the answer TestAnEngineThatNeverAnswersIsLeft never ends. Conclusion: net/http does repeat an empty call with an Idempotency-Key on a kept connection, so calls that may not be repeated need a connection of their own.

--- a/caller/body.go
+++ b/caller/body.go
@@ -44,16 +44,24 @@
 	}
 	for {
 		_, err := decoder.ReadToken()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
 		if err != nil {
 			return mp.NewError(mp.KindInvalidRequest, "the body is not valid JSON: %s", strings.TrimPrefix(err.Error(), "jsontext: "))
 		}
 		if decoder.StackDepth() > se.limits.Depth {
 			return mp.NewError(mp.KindInvalidRequest, "the body is nested over %d levels deep", se.limits.Depth)
 		}
+		if decoder.StackDepth() == 0 {
+			return checkEnd(decoder)
+		}
+	}
+}
+
+// checkEnd makes sure that nothing follows the object.
+func checkEnd(decoder *jsontext.Decoder) error {
+	if _, err := decoder.ReadToken(); !errors.Is(err, io.EOF) {
+		return mp.NewError(mp.KindInvalidRequest, "the body goes on after the object ends")
 	}
+	return nil
 }
 
 // bytesPerToken estimates the length of a prompt.
--- a/caller/run.go
+++ b/caller/run.go
@@ -43,6 +43,7 @@
 	first   time.Time // when the current run brought its first token
 	last    time.Time
 	entered mp.Tokens // count when the current run began
+	mayRun  bool      // an engine may have worked on the request
 }
 
 // errCallerGone is what a sink returns when the caller takes nothing more.
@@ -96,18 +97,27 @@
 			ru.lease.Release(ru.result(false))
 			return mp.WrapError(err, mp.KindInvalidRequest, "the engine refused the request: %s", refusalMessage(failure))
 		}
+		ru.mayRun = ru.mayRun || !failure.NotRun()
 		if !ru.mayRepeat() || !ru.server.retries.again(attempts, ru.count > ru.entered) {
 			ru.lease.Release(ru.result(true))
-			return mp.WrapError(err, mp.KindBackendFailed, "the engines failed before the end of the answer")
+			return ru.giveUp(err)
 		}
 		ru.outcome.Resumed(ru.wasted())
 		ru.server.retries.pause(ctx, ru.server, attempts)
 		if err := ru.lease.Reassign(ru.result(true)); err != nil {
-			return mp.WrapError(err, mp.KindBackendFailed, "no other engine could go on with the answer")
+			return ru.giveUp(err)
 		}
 	}
 }
 
+// giveUp returns the error of a request that no engine completed.
+func (ru *run) giveUp(err error) error {
+	if !ru.mayRun {
+		return mp.WrapError(err, mp.KindNoBackend, "no engine took the request; it was not run")
+	}
+	return mp.WrapError(err, mp.KindBackendFailed, "the engines failed before the end of the answer")
+}
+
 // mayRepeat says whether another run can go on where the last one ended.
 func (ru *run) mayRepeat() bool {
 	return ru.request.resumable || ru.count == 0
--- a/cmd/mangopaddle/root.go
+++ b/cmd/mangopaddle/root.go
@@ -55,6 +55,7 @@
 		Subcommands: []*ffcli.Command{
 			newServe(stderr).command(),
 			newQuickstart(stdout, stderr).command(),
+			newStandin(stdout, stderr).command(),
 			newCheck(stdout, stderr).command(),
 			newInit(stdout, stderr).command(),
 			newSchema(stdout, stderr).command(),
--- /dev/null
+++ b/cmd/mangopaddle/standin.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/enginemodel"
+	"github.com/mangopaddle/mangopaddle/fakeengine"
+	"github.com/mangopaddle/mangopaddle/fakeplatform"
+	"github.com/mangopaddle/mangopaddle/fakeservice"
+)
+
+// standin runs one stand-in as a process of its own.
+type standin struct {
+	stdout, stderr io.Writer
+	listen         string
+
+	models       string
+	slots        int
+	answerTokens int64
+	fencing      bool
+	slowdown     float64
+
+	dir  string
+	poll time.Duration
+}
+
+func newStandin(stdout, stderr io.Writer) *standin {
+	return &standin{stdout: stdout, stderr: stderr}
+}
+
+func (st *standin) command() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "standin",
+		ShortUsage: "mangopaddle standin engine|service|platform [FLAGS]",
+		ShortHelp:  "Run a stand-in for an engine, a plain service or the platform.",
+		FlagSet:    flags("standin", st.stderr),
+		Subcommands: []*ffcli.Command{
+			st.engineCommand(),
+			st.serviceCommand(),
+			st.platformCommand(),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+}
+
+func (st *standin) flags(name string) *flag.FlagSet {
+	set := flags("standin "+name, st.stderr)
+	set.StringVar(&st.listen, "listen", "127.0.0.1:0", "address to serve, an IP number with a port")
+	return set
+}
+
+func (st *standin) engineCommand() *ffcli.Command {
+	set := st.flags("engine")
+	set.StringVar(&st.models, "models", "model-small", "models to serve, with commas between them")
+	set.IntVar(&st.slots, "slots", enginemodel.DefaultParams().Slots, "requests batched at once")
+	set.Int64Var(&st.answerTokens, "answer-tokens", 64, "mean length of an answer without max_tokens")
+	set.BoolVar(&st.fencing, "fencing", false, "refuse orders with an old fencing number")
+	set.Float64Var(&st.slowdown, "slowdown", 1, "factor on the time of every iteration")
+	return &ffcli.Command{Name: "engine", ShortHelp: "Run a model engine.", FlagSet: set, Exec: st.runEngine}
+}
+
+func (st *standin) runEngine(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	var models []mp.ModelID
+	for name := range strings.SplitSeq(st.models, ",") {
+		models = append(models, mp.ModelID(name))
+	}
+	params := enginemodel.DefaultParams()
+	params.Slots = st.slots
+	options := []fakeengine.Option{
+		fakeengine.WithModels(models...),
+		fakeengine.WithParams(params),
+		fakeengine.WithAnswerTokens(mp.Tokens(st.answerTokens)),
+	}
+	if st.fencing {
+		options = append(options, fakeengine.WithFencing())
+	}
+	en, stop := fakeengine.New(options...)
+	defer stop()
+	en.SetSlowdown(st.slowdown)
+	return st.serve(ctx, "engine", en.Handler())
+}
+
+func (st *standin) serviceCommand() *ffcli.Command {
+	return &ffcli.Command{Name: "service", ShortHelp: "Run a plain service that records its calls.", FlagSet: st.flags("service"), Exec: st.runService}
+}
+
+func (st *standin) runService(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	return st.serve(ctx, "service", fakeservice.New().Handler())
+}
+
+func (st *standin) platformCommand() *ffcli.Command {
+	set := st.flags("platform")
+	set.StringVar(&st.dir, "dir", ".", "directory with fleet.json and contracts/NAME.json; published again when it changes")
+	set.DurationVar(&st.poll, "poll", 500*time.Millisecond, "how often the directory is read")
+	return &ffcli.Command{Name: "platform", ShortHelp: "Run a configuration service over a directory.", FlagSet: set, Exec: st.runPlatform}
+}
+
+func (st *standin) runPlatform(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pl := fakeplatform.New()
+	if _, err := st.publish(pl, nil); err != nil {
+		return errors.Trace(err)
+	}
+	go st.follow(ctx, pl)
+	return st.serve(ctx, "platform", pl.Handler())
+}
+
+// follow publishes the directory again whenever it changed.
+func (st *standin) follow(ctx context.Context, pl *fakeplatform.Platform) {
+	ticker := time.NewTicker(st.poll)
+	defer ticker.Stop()
+	known, _ := config.ReadDirectory(st.dir)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if values, err := st.publish(pl, known); err == nil {
+				known = values
+			}
+		}
+	}
+}
+
+// publish publishes what differs from the known values.
+func (st *standin) publish(pl *fakeplatform.Platform, known map[mp.ConfigKey]mp.Value) (map[mp.ConfigKey]mp.Value, error) {
+	values, err := config.ReadDirectory(st.dir)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	changed := map[mp.ConfigKey][]byte{}
+	for key, value := range values {
+		if string(known[key].Value) != string(value.Value) {
+			changed[key] = value.Value
+		}
+	}
+	for key := range known {
+		if _, ok := values[key]; !ok {
+			changed[key] = nil
+		}
+	}
+	if len(changed) > 0 {
+		pl.Publish(changed)
+	}
+	return values, nil
+}
+
+// serve serves a handler until a signal.
+func (st *standin) serve(ctx context.Context, what string, handler http.Handler) error {
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	listener, err := net.Listen("tcp", st.listen)
+	if err != nil {
+		return errors.Annotatef(err, "listener of the %s", what)
+	}
+	fmt.Fprintf(st.stdout, "%s serves http://%s\n", what, listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/e2e/config_test.go
@@ -0,0 +1,71 @@
+package e2e_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+func revision(t *testing.T, de *quickstart.Deployment) int64 {
+	t.Helper()
+	return gjson.Get(state(t, de), "config_revision").Int()
+}
+
+// republish publishes a changed fleet and waits until it is in force.
+func republish(t *testing.T, de *quickstart.Deployment, change func(fl *config.Fleet)) {
+	t.Helper()
+	before := revision(t, de)
+	change(&de.Fleet)
+	require.NoError(t, de.Publish())
+	testkit.Eventually(t, func() bool { return revision(t, de) > before }, "the revision is not in force")
+}
+
+func TestABadSetIsRefusedWhole(t *testing.T) {
+	de := testkit.Start(t)
+	before := revision(t, de)
+	contract := []byte(`{"organisation":"other","keys":[{"name":"k","sha256":"00"}],"classes":[{"name":"c","tier":9}]}`)
+	de.Platform.Publish(map[mp.ConfigKey][]byte{config.ContractKey("other"): contract})
+	testkit.Eventually(t, func() bool { return gjson.Get(state(t, de), "config_refused").Exists() }, "the refusal is not shown")
+	require.Equal(t, before, revision(t, de))
+	faults := gjson.Get(state(t, de), "config_refused.faults.#.path").String()
+	require.Contains(t, faults, "/keys/0/sha256")
+	require.Contains(t, faults, "/classes/0/tier")
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "2"))
+	require.Equal(t, http.StatusOK, an.Status)
+
+	de.Platform.Publish(map[mp.ConfigKey][]byte{config.ContractKey("other"): nil})
+	testkit.Eventually(t, func() bool { return revision(t, de) > before }, "the mended set is not in force")
+	require.False(t, gjson.Get(state(t, de), "config_refused").Exists())
+}
+
+func TestAStalePlatformNeverTurnsTheConfigurationBack(t *testing.T) {
+	de := testkit.Start(t)
+	first := de.Platform.Save()
+	republish(t, de, func(fl *config.Fleet) { fl.Models[0].ContextTokens = 4096 })
+	newest := revision(t, de)
+
+	calls := de.Platform.Calls()
+	de.Platform.Show(first)
+	testkit.Eventually(t, func() bool { return de.Platform.Calls() > calls+2 }, "the stale platform was not asked")
+	require.Equal(t, newest, revision(t, de))
+
+	de.Platform.Show(nil)
+	republish(t, de, func(*config.Fleet) {})
+	require.Greater(t, revision(t, de), newest)
+}
+
+func TestAHostServesWhileThePlatformIsDown(t *testing.T) {
+	de := testkit.Start(t)
+	de.Platform.SetDown(true)
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "2"))
+	require.Equal(t, http.StatusOK, an.Status)
+	de.Platform.SetDown(false)
+	republish(t, de, func(fl *config.Fleet) { fl.Models[0].ContextTokens = 4096 })
+}
--- /dev/null
+++ b/e2e/drain_test.go
@@ -0,0 +1,38 @@
+package e2e_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+func TestDrainCutsOffNoRequestInProgress(t *testing.T) {
+	de := testkit.Start(t)
+	const requests = 12
+	answers := make([]testkit.Answer, requests)
+	var group sync.WaitGroup
+	for ix := range answers {
+		group.Go(func() {
+			answers[ix] = testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelLarge, "x", ix%2 == 0, "40"))
+		})
+	}
+	testkit.Eventually(t, func() bool { return started(de) == requests }, "requests did not start")
+	drained := make(chan error, 1)
+	go func() { drained <- de.Host.Drain(context.Background()) }()
+	group.Wait()
+	require.NoError(t, <-drained)
+	for _, an := range answers {
+		require.NoError(t, an.Err)
+		require.Equal(t, http.StatusOK, an.Status, an.Body)
+	}
+	_, err := http.DefaultClient.Do(testkit.Request(t.Context(), t, de.Host.CallerAddress(), http.MethodGet, "/v1/models", ""))
+	require.Error(t, err, "a drained host takes no request")
+	ready := testkit.Send(t, testkit.Request(t.Context(), t, de.Host.OperatorAddress(), http.MethodGet, "/readyz", ""))
+	require.Equal(t, http.StatusServiceUnavailable, ready.Status)
+}
--- /dev/null
+++ b/e2e/failure_test.go
@@ -0,0 +1,185 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/fakeengine"
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+// quickSilence lets silent connections be found soon; engines send comments
+// ten times as often.
+func quickSilence() []quickstart.Option {
+	return []quickstart.Option{
+		quickstart.WithSettings(func(st *config.Settings) { st.Silence = 500 * time.Millisecond }),
+		quickstart.WithEngineOptions(fakeengine.WithKeepAlive(50 * time.Millisecond)),
+	}
+}
+
+func TestBrokenAnswersAreResumedWhole(t *testing.T) {
+	faults := map[string]fakeengine.Fault{
+		"truncated stream":  fakeengine.FaultTruncate,
+		"crash":             fakeengine.FaultCrash,
+		"silent connection": fakeengine.FaultSilent,
+	}
+	for name, fault := range faults {
+		for _, stream := range []bool{true, false} {
+			t.Run(name+", stream "+strconv.FormatBool(stream), func(t *testing.T) {
+				t.Parallel()
+				checkResumed(t, fault, stream)
+			})
+		}
+	}
+}
+
+// checkResumed lets one of two engines fail behind some tokens and compares
+// every answer with the one of a healthy deployment.
+func checkResumed(t *testing.T, fault fakeengine.Fault, stream bool) {
+	healthy := testkit.Start(t)
+	de := testkit.Start(t, quickSilence()...)
+	bad := de.Engines["model-small-a"]
+	bad.SetFault(fault, 7)
+
+	answers := postAll(t, de, 6, func(ix int) string { return testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), stream, "30") })
+	require.Positive(t, bad.Stats().Started, "no request met the fault")
+	for ix, an := range answers {
+		require.Equal(t, http.StatusOK, an.Status, an.Body)
+		want := testkit.Post(t, healthy.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), false, "30"))
+		if stream {
+			require.Equal(t, testkit.WholeContent(t, want.Body), testkit.StreamContent(t, an.Body))
+		} else {
+			require.Equal(t, testkit.WholeContent(t, want.Body), testkit.WholeContent(t, an.Body))
+		}
+	}
+	testkit.Eventually(t, func() bool { return bad.Stats().Running == 0 }, "the bad engine still works for nobody")
+}
+
+// holdConnections accepts connections and never answers on them, as a host does
+// that lost track of them.
+func holdConnections(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = connection.Close() })
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestAnEngineThatNeverAnswersIsLeft(t *testing.T) {
+	de := testkit.Start(t, quickSilence()...)
+	address := holdConnections(t)
+	republish(t, de, func(fl *config.Fleet) { fl.Engines[0].Address = address })
+	answers := postAll(t, de, 6, func(ix int) string { return testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), true, "5") })
+	for _, an := range answers {
+		require.Len(t, strings.Fields(testkit.StreamContent(t, an.Body)), 5)
+	}
+}
+
+// postAll posts requests at the same time and returns their answers.
+func postAll(t *testing.T, de *quickstart.Deployment, count int, body func(ix int) string) []testkit.Answer {
+	t.Helper()
+	answers := make([]testkit.Answer, count)
+	var group sync.WaitGroup
+	for ix := range answers {
+		group.Go(func() {
+			answers[ix] = testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, body(ix))
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+func TestUnavailableEnginesMeanNotRun(t *testing.T) {
+	de := testkit.Start(t)
+	for _, en := range de.Engines {
+		en.SetFault(fakeengine.FaultUnavailable, 0)
+	}
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "3"))
+	require.Equal(t, mp.KindNoBackend.String(), an.Code())
+	require.True(t, an.NotRun())
+	require.NotEmpty(t, an.Header.Get("Retry-After"))
+	require.Zero(t, started(de))
+}
+
+func TestCrashedEnginesAreNotSaidToHaveDoneNothing(t *testing.T) {
+	de := testkit.Start(t)
+	for _, en := range de.Engines {
+		en.SetFault(fakeengine.FaultCrash, 0)
+	}
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "3"))
+	require.Equal(t, mp.KindBackendFailed.String(), an.Code())
+	require.False(t, an.NotRun())
+}
+
+func TestABrokenStreamEndsWithoutItsLastEvent(t *testing.T) {
+	de := testkit.Start(t)
+	for _, en := range de.Engines {
+		en.SetFault(fakeengine.FaultTruncate, 0)
+	}
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", true, "50"))
+	require.NotContains(t, an.Body, mp.StreamEnd)
+	require.Contains(t, an.Body, mp.KindBackendFailed.String())
+}
+
+func TestACallerThatLeavesCancelsTheEnginesWork(t *testing.T) {
+	de := testkit.Start(t)
+	ctx, leave := context.WithCancel(t.Context())
+	request := testkit.Request(ctx, t, de.Host.CallerAddress(), http.MethodPost, testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", true, "100000"))
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.True(t, strings.HasPrefix(line, "data: "))
+	leave()
+	testkit.Eventually(t, func() bool {
+		cancelled, running := 0, 0
+		for _, en := range de.Engines {
+			cancelled += en.Stats().Cancelled
+			running += en.Stats().Running
+		}
+		return cancelled == 1 && running == 0
+	}, "the engine still works")
+}
+
+func TestLeavingEngineGetsNoNewRequest(t *testing.T) {
+	de := testkit.Start(t)
+	leaving := de.Engines["model-small-a"]
+	de.Platform.SetHosts(mp.HostList{Servers: []mp.ListedServer{{Name: "model-small-a", State: mp.ServerLeaving}}})
+	testkit.Eventually(t, func() bool {
+		return strings.Contains(state(t, de), `"model-small-a": true`)
+	}, "the list was not read")
+	before := leaving.Stats().Started
+	for range 8 {
+		an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "2"))
+		require.Equal(t, http.StatusOK, an.Status)
+	}
+	require.Equal(t, before, leaving.Stats().Started)
+}
+
+// state returns the host's /debug/state.
+func state(t *testing.T, de *quickstart.Deployment) string {
+	t.Helper()
+	return testkit.Send(t, testkit.Request(t.Context(), t, de.Host.OperatorAddress(), http.MethodGet, "/debug/state", "")).Body
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,55 +2,83 @@
 package e2e_test
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
 
+	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
-func start(t *testing.T, opts ...quickstart.Option) *quickstart.Deployment {
-	t.Helper()
-	de, stop, err := quickstart.New(opts...)
-	require.NoError(t, err)
-	t.Cleanup(stop)
-	return de
-}
+func TestWholeAnswerEqualsTheStream(t *testing.T) {
+	de := testkit.Start(t)
+	address := de.Host.CallerAddress()
+	whole := testkit.Post(t, address, testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "soil", false, "20"))
+	require.Equal(t, http.StatusOK, whole.Status)
+	require.NotEmpty(t, whole.Header.Get(mp.HeaderRequestID))
+	require.EqualValues(t, 20, gjson.Get(whole.Body, "usage.completion_tokens").Int())
+	require.Equal(t, "stop", gjson.Get(whole.Body, "choices.0.finish_reason").String())
 
-func post(t *testing.T, de *quickstart.Deployment, path, body string) (int, http.Header, string) {
-	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+de.Host.CallerAddress()+path, strings.NewReader(body))
-	require.NoError(t, err)
-	request.Header.Set("Authorization", "Bearer "+quickstart.Key)
-	response, err := http.DefaultClient.Do(request)
-	require.NoError(t, err)
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	return response.StatusCode, response.Header, string(text)
+	stream := testkit.Post(t, address, testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "soil", true, "20"))
+	require.Equal(t, testkit.WholeContent(t, whole.Body), testkit.StreamContent(t, stream.Body))
+	require.NotContains(t, stream.Body, "usage", "the caller did not ask for the usage")
 }
 
-const chat = "/v1/chat/completions"
+func TestTextCompletion(t *testing.T) {
+	de := testkit.Start(t)
+	whole := testkit.Post(t, de.Host.CallerAddress(), "/v1/completions", `{"model":"model-large","prompt":"clay","max_tokens":3,"ignore_eos":true}`)
+	require.Equal(t, http.StatusOK, whole.Status)
+	require.Equal(t, "text_completion", gjson.Get(whole.Body, "object").String())
+	require.NotEmpty(t, gjson.Get(whole.Body, "choices.0.text").String())
+}
 
-func TestWholeAnswerEqualsTheStream(t *testing.T) {
-	de := start(t)
-	request := `{"model":"model-small","max_tokens":20,"ignore_eos":true,"stream":%,"messages":[{"role":"user","content":"soil"}]}`
-	status, header, whole := post(t, de, chat, strings.Replace(request, "%", "false", 1))
-	require.Equal(t, http.StatusOK, status)
-	require.NotEmpty(t, header.Get("X-Request-Id"))
-	_, _, stream := post(t, de, chat, strings.Replace(request, "%", "true", 1))
-	require.Equal(t, contentOf(t, whole), streamedContent(t, stream))
-	require.True(t, strings.HasSuffix(stream, "data: [DONE]\n\n"))
+func TestErrorsAreInTheShapeThatClientsExpect(t *testing.T) {
+	de := testkit.Start(t)
+	address := de.Host.CallerAddress()
+	good := testkit.ChatBody(quickstart.ModelSmall, "x", false, "1")
+	tests := []struct {
+		name, method, path, body, key, class string
+		status                               int
+		code                                 mp.Kind
+	}{
+		{name: "no key", method: http.MethodPost, path: testkit.Chat, body: good, key: "-", status: 401, code: mp.KindUnauthorized},
+		{name: "wrong key", method: http.MethodPost, path: testkit.Chat, body: good, key: "Bearer other", status: 401, code: mp.KindUnauthorized},
+		{name: "unknown class", method: http.MethodPost, path: testkit.Chat, body: good, class: "gold", status: 403, code: mp.KindClassNotAllowed},
+		{name: "unknown model", method: http.MethodPost, path: testkit.Chat, body: testkit.ChatBody("other", "x", false, "1"), status: 404, code: mp.KindModelNotFound},
+		{name: "unknown path", method: http.MethodPost, path: "/v1/other", body: good, status: 404, code: mp.KindNotFound},
+		{name: "wrong method", method: http.MethodDelete, path: testkit.Chat, status: 405, code: mp.KindMethodNotAllowed},
+		{name: "unknown service", method: http.MethodPost, path: "/services/other/x", status: 404, code: mp.KindServiceNotFound},
+		{name: "service outside the class", method: http.MethodPost, path: "/services/orders/x", class: "batch", status: 403, code: mp.KindClassNotAllowed},
+		{name: "unknown model item", method: http.MethodGet, path: "/v1/models/other", status: 404, code: mp.KindModelNotFound},
+	}
+	for _, te := range tests {
+		t.Run(te.name, func(t *testing.T) {
+			request := testkit.Request(t.Context(), t, address, te.method, te.path, te.body)
+			if te.key != "" {
+				request.Header.Set("Authorization", te.key)
+			}
+			if te.class != "" {
+				request.Header.Set(mp.HeaderClass, te.class)
+			}
+			an := testkit.Send(t, request)
+			require.Equal(t, te.status, an.Status, an.Body)
+			require.Equal(t, te.code.String(), an.Code())
+			require.True(t, an.NotRun())
+			require.NotEmpty(t, gjson.Get(an.Body, "error.message").String())
+			require.Equal(t, an.Header.Get(mp.HeaderRequestID), gjson.Get(an.Body, "error.request_id").String())
+		})
+	}
+	require.Zero(t, started(de), "nothing reached an engine")
 }
 
-func TestServiceCallRunsOnce(t *testing.T) {
-	de := start(t)
-	status, _, _ := post(t, de, "/services/orders/confirm", `{"boreholes":1}`)
-	require.Equal(t, http.StatusCreated, status)
-	calls := de.Orders.Calls()
-	require.Len(t, calls, 1)
-	require.Equal(t, `{"boreholes":1}`, calls[0].Body)
+// started counts the requests that engines accepted.
+func started(de *quickstart.Deployment) int {
+	total := 0
+	for _, en := range de.Engines {
+		total += en.Stats().Started
+	}
+	return total
 }
--- /dev/null
+++ b/e2e/service_test.go
@@ -0,0 +1,116 @@
+package e2e_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/fakeservice"
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+const order = "/services/orders/confirm?crew=7"
+
+func confirm(t *testing.T, de *quickstart.Deployment) testkit.Answer {
+	t.Helper()
+	request := testkit.Request(t.Context(), t, de.Host.CallerAddress(), http.MethodPost, order, `{"boreholes":1}`)
+	request.Header.Set(mp.HeaderIdempotencyKey, "order-1")
+	return testkit.Send(t, request)
+}
+
+func TestAnOrderRunsOnce(t *testing.T) {
+	de := testkit.Start(t)
+	an := confirm(t, de)
+	require.Equal(t, http.StatusCreated, an.Status)
+	calls := de.Orders.Calls()
+	require.Len(t, calls, 1)
+	require.Equal(t, fakeservice.Call{Method: http.MethodPost, Path: "/confirm", Key: "order-1", Body: `{"boreholes":1}`}, calls[0])
+}
+
+func TestAnOrderIsNeverSentAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault fakeservice.Fault
+		runs  int
+	}{
+		{"crash before the run", fakeservice.FaultCrashBefore, 0},
+		{"crash after the run", fakeservice.FaultCrashAfter, 1},
+		{"silence after the run", fakeservice.FaultSilentAfter, 1},
+	}
+	for _, te := range tests {
+		t.Run(te.name, func(t *testing.T) {
+			t.Parallel()
+			de := testkit.Start(t)
+			republish(t, de, func(fl *config.Fleet) { fl.Services[0].Timeout = mp.Duration(time.Second) })
+			require.Equal(t, http.StatusCreated, confirm(t, de).Status, "a first call, so that a kept connection could be there")
+			de.Orders.SetFault(te.fault)
+			an := confirm(t, de)
+			require.Equal(t, mp.KindOutcomeUnknown.String(), an.Code(), an.Body)
+			require.False(t, an.NotRun())
+			require.Equal(t, 2, de.Orders.Tries(), "the call was sent again")
+			require.Len(t, de.Orders.Calls(), 1+te.runs)
+
+			// net/http repeats a call without a body on a kept connection.
+			de.Orders.SetFault(fakeservice.FaultNone)
+			require.Equal(t, http.StatusCreated, confirm(t, de).Status)
+			de.Orders.SetFault(te.fault)
+			empty := testkit.Request(t.Context(), t, de.Host.CallerAddress(), http.MethodPost, order, "")
+			empty.Header.Set(mp.HeaderIdempotencyKey, "order-2")
+			require.Equal(t, mp.KindOutcomeUnknown.String(), testkit.Send(t, empty).Code())
+			require.Equal(t, 4, de.Orders.Tries(), "the empty call was sent again")
+		})
+	}
+}
+
+func TestAServicesOwnErrorReachesTheCaller(t *testing.T) {
+	de := testkit.Start(t)
+	de.Orders.SetFault(fakeservice.FaultUnavailable)
+	an := confirm(t, de)
+	require.Equal(t, http.StatusServiceUnavailable, an.Status)
+	require.Equal(t, "not ready\n", an.Body)
+	require.Equal(t, 1, de.Orders.Tries())
+}
+
+// closedAddress returns an address that nothing listens on.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestAnUnreachableReplicaMeansNotRun(t *testing.T) {
+	de := testkit.Start(t)
+	live := de.Fleet.Services[0].Replicas[0]
+	dead := config.Replica{Name: "orders-0", Address: closedAddress(t), DataCentre: quickstart.DataCentre}
+
+	republish(t, de, func(fl *config.Fleet) { fl.Services[0].Replicas = []config.Replica{dead} })
+	an := confirm(t, de)
+	require.Equal(t, mp.KindNoBackend.String(), an.Code(), an.Body)
+	require.True(t, an.NotRun())
+
+	republish(t, de, func(fl *config.Fleet) { fl.Services[0].Replicas = []config.Replica{dead, live} })
+	require.Equal(t, http.StatusCreated, confirm(t, de).Status)
+	require.Len(t, de.Orders.Calls(), 1)
+}
+
+func TestAnIdempotentServiceIsTriedAgain(t *testing.T) {
+	de := testkit.Start(t)
+	second := fakeservice.New()
+	address, err := de.Serve(second.Handler())
+	require.NoError(t, err)
+	de.Orders.SetFault(fakeservice.FaultCrashAfter)
+	republish(t, de, func(fl *config.Fleet) {
+		fl.Services[0].Idempotent = true
+		fl.Services[0].Replicas = append(fl.Services[0].Replicas, config.Replica{Name: "orders-2", Address: address, DataCentre: quickstart.DataCentre})
+	})
+	require.Equal(t, http.StatusCreated, confirm(t, de).Status)
+	require.Len(t, second.Calls(), 1)
+}
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 
 	"github.com/juju/errors"
@@ -52,6 +53,16 @@
 // Unwrap returns the cause.
 func (fa *Failure) Unwrap() error { return fa.cause }
 
+// NotRun says that it is certain that the engine did nothing: it refused the
+// request, or could not be reached.
+func (fa *Failure) NotRun() bool {
+	if fa.Stage == StageRefused {
+		return true
+	}
+	operation, ok := errors.AsType[*net.OpError](fa.cause)
+	return fa.Stage == StageSend && ok && operation.Op == "dial"
+}
+
 // CallersFault says that another engine would refuse the request too.
 func (fa *Failure) CallersFault() bool {
 	if fa.Stage != StageRefused || fa.Status >= http.StatusInternalServerError {
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -100,6 +100,11 @@
 	return func(en *Engine) { en.loadLag = lag }
 }
 
+// WithKeepAlive sets how often a stream without news gets a comment.
+func WithKeepAlive(interval time.Duration) Option {
+	return func(en *Engine) { en.keepAlive = interval }
+}
+
 // WithCacheEvents sets how late cache events are, and that each gap-th is lost;
 // a gap of zero loses none.
 func WithCacheEvents(lag time.Duration, gap uint64) Option {
--- a/fakeplatform/platform.go
+++ b/fakeplatform/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -26,7 +27,7 @@
 	revision mp.Revision
 	values   map[mp.ConfigKey]mp.Value
 	deleted  map[mp.ConfigKey]mp.Revision
-	frozen   *view
+	frozen   *View
 	changed  chan struct{}
 	down     bool
 	lists    []timedList
@@ -35,8 +36,8 @@
 	inSecond int
 }
 
-// view is what a stale replica still shows.
-type view struct {
+// View is a state of the published configuration.
+type View struct {
 	revision mp.Revision
 	values   map[mp.ConfigKey]mp.Value
 	deleted  map[mp.ConfigKey]mp.Revision
@@ -117,22 +118,21 @@
 	pl.down = down
 }
 
-// SetStale freezes what readers see, or ends that.
-func (pl *Platform) SetStale(stale bool) {
+// Save returns what readers see now, for Show.
+func (pl *Platform) Save() *View {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	if !stale {
-		pl.frozen = nil
-		return
-	}
-	frozen := &view{revision: pl.revision, values: map[mp.ConfigKey]mp.Value{}, deleted: map[mp.ConfigKey]mp.Revision{}}
-	for key, value := range pl.values {
-		frozen.values[key] = value
-	}
-	for key, revision := range pl.deleted {
-		frozen.deleted[key] = revision
-	}
-	pl.frozen = frozen
+	return &View{revision: pl.revision, values: maps.Clone(pl.values), deleted: maps.Clone(pl.deleted)}
+}
+
+// Show makes readers see a saved state, as a stale replica would; nil ends
+// that.
+func (pl *Platform) Show(vi *View) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.frozen = vi
+	close(pl.changed)
+	pl.changed = make(chan struct{})
 }
 
 // Calls counts the calls so far; a waiting watch is one.
@@ -173,11 +173,11 @@
 }
 
 // current returns what readers see. The caller holds the lock.
-func (pl *Platform) current() view {
+func (pl *Platform) current() View {
 	if pl.frozen != nil {
 		return *pl.frozen
 	}
-	return view{revision: pl.revision, values: pl.values, deleted: pl.deleted}
+	return View{revision: pl.revision, values: pl.values, deleted: pl.deleted}
 }
 
 func (pl *Platform) serveChanges(rw http.ResponseWriter, rq *http.Request) {
