--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -53,7 +53,9 @@
 	bad := de.Engines["model-small-a"]
 	bad.SetFault(fault, 7)
 
-	answers := postAll(t, de, 6, func(ix int) string { return testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), stream, "30") })
+	answers := postAll(t, de, 6, func(ix int) string {
+		return testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), stream, "30")
+	})
 	require.Positive(t, bad.Stats().Started, "no request met the fault")
 	for ix, an := range answers {
 		require.Equal(t, http.StatusOK, an.Status, an.Body)
