Measure slopes and work out docs/CAPACITY.md from them

Change: mangopaddle bench measures decisions, state, configuration, message sizes and relayed streams against a direct run; mangopaddle capacity prints the page's tables for any size. Peer messages are defined so that their sizes are measured; nothing sends them yet, and the page says so. From the first measurements: the mean answer's quantile is taken once a decision and not once an engine, an engine's prefix table is made when a prefix is first sent, and the buffers of engine connections are 1 KB.

--- a/affinity/sketch.go
+++ b/affinity/sketch.go
@@ -29,6 +29,11 @@
 	seconds     int64
 }
 
+// New returns an empty sketch.
+func New() *Sketch {
+	return &Sketch{}
+}
+
 // Note records that the engine was given a prefix.
 func (sk *Sketch) Note(now time.Time, prefix uint64, tokens mp.Tokens) {
 	if prefix == 0 || tokens < tokensUnit {
--- /dev/null
+++ b/bench/state.go
@@ -0,0 +1,215 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/meter"
+	"github.com/mangopaddle/mangopaddle/schedule"
+)
+
+// classesPerContract is how many classes a measured contract has.
+const classesPerContract = mp.TierCount
+
+func measureState(_ context.Context, re *Result) error {
+	var byClass, byEngine, byMeter []Point
+	for _, count := range []int{1000, 3000, 6000, 9000} {
+		byClass = append(byClass, Point{X: float64(count), Y: medianOf(func() float64 {
+			return memoryOf(func() any { return schedulerWithClasses(count) })
+		})})
+		byMeter = append(byMeter, Point{X: float64(count), Y: medianOf(func() float64 {
+			return memoryOf(func() any { return meterWithClasses(count) })
+		})})
+	}
+	for _, count := range []int{12, 70, 141, 282} {
+		byEngine = append(byEngine, Point{X: float64(count), Y: medianOf(func() float64 {
+			return memoryOf(func() any { return schedulerWithEngines(count) })
+		})})
+	}
+	var outcomes []Point
+	for _, count := range []int{10, 100, 1000} {
+		size, err := sizeOf(meterWithClasses(count).Report())
+		if err != nil {
+			return errors.Trace(err)
+		}
+		outcomes = append(outcomes, Point{X: float64(count), Y: size})
+	}
+	re.addSlope(OutcomesSize, "classes", "bytes", outcomes)
+	re.addSlope(ScheduleOrgMemory, "active classes", "bytes", byClass)
+	re.addSlope(MeterMemory, "active classes", "bytes", byMeter)
+	re.addSlope(EngineMemory, "engines", "bytes", byEngine)
+	return nil
+}
+
+// schedulerWithEngines has sent a prompt with a prefix to every engine.
+func schedulerWithEngines(count int) *schedule.Scheduler {
+	sc := schedule.New()
+	sc.SetEngines(engineList(count, models))
+	wl := newWorkload(models, 1)
+	for ix := range 8 * count {
+		sc.Arrive(time.Unix(1_700_000_000, 0), wl.work[ix%len(wl.work)])
+	}
+	for ix := range 8 * count {
+		sc.Done(time.Unix(1_700_000_000, 0), wl.work[ix%len(wl.work)].ID, mp.Outcome{Answer: 1})
+	}
+	return sc
+}
+
+// schedulerWithClasses has seen one request of each class.
+func schedulerWithClasses(count int) *schedule.Scheduler {
+	sc := schedule.New()
+	sc.SetEngines(engineList(models, models))
+	now := time.Unix(1_700_000_000, 0)
+	for ix := range count {
+		now = now.Add(10 * time.Millisecond)
+		id := mp.RequestID("request-" + strconv.Itoa(ix))
+		sc.Arrive(now, mp.Work{
+			ID:           id,
+			Organisation: organisationName(ix / classesPerContract),
+			Class:        className(ix % classesPerContract),
+			Model:        modelName(ix % models),
+			LongestWait:  time.Second,
+			Promised:     10,
+		})
+		sc.Done(now, id, mp.Outcome{Answer: 100})
+	}
+	return sc
+}
+
+func className(ix int) mp.ClassName {
+	return mp.ClassName("class-" + strconv.Itoa(ix))
+}
+
+func meterWithClasses(count int) *meter.Meter {
+	me := meter.New(tally.NoopScope)
+	for ix := range count {
+		class := &config.Class{Name: className(ix % classesPerContract)}
+		rq := me.Request(organisationName(ix/classesPerContract), class)
+		rq.FirstToken(time.Millisecond)
+		rq.Completed(1)
+	}
+	return me
+}
+
+// contract returns a contract as an operator would write it.
+func contract(ix int) []byte {
+	co := config.Contract{
+		Organisation: organisationName(ix),
+		Keys:         []config.Key{{Name: "key", SHA256: fmt.Sprintf("%064x", ix)}},
+	}
+	for number := range classesPerContract {
+		co.Classes = append(co.Classes, config.Class{
+			Name:    className(number),
+			Tier:    mp.Tier(number),
+			Models:  []mp.ModelID{modelName(ix % models), modelName((ix + 1) % models)},
+			Targets: config.Targets{FirstToken: mp.Duration(900 * time.Millisecond), BetweenTokens: mp.Duration(54 * time.Millisecond)},
+			Share:   config.Share{PromisedTokensPerSecond: 100, MostTokensPerSecond: 1000},
+		})
+	}
+	text, err := json.Marshal(co)
+	if err != nil {
+		panic(err) // the configuration types always marshal
+	}
+	return text
+}
+
+// values returns a published set of one data centre's engines.
+func values(organisations int) map[mp.ConfigKey]mp.Value {
+	fl := config.Fleet{Regions: []config.Region{{Name: "r", DataCentres: []mp.DataCentreID{"d"}}}}
+	for ix := range models {
+		fl.Models = append(fl.Models, config.Model{Name: modelName(ix)})
+	}
+	for ix, en := range engineList(282, models) {
+		fl.Engines = append(fl.Engines, config.Engine{Name: en.ID, Address: "127.0.0.1:" + strconv.Itoa(10000+ix), DataCentre: "d", Models: en.Models})
+	}
+	text, err := json.Marshal(fl)
+	if err != nil {
+		panic(err) // the configuration types always marshal
+	}
+	set := map[mp.ConfigKey]mp.Value{config.FleetKey: {Key: config.FleetKey, Revision: 1, Value: text}}
+	for ix := range organisations {
+		key := config.ContractKey(organisationName(ix))
+		set[key] = mp.Value{Key: key, Revision: 1, Value: contract(ix)}
+	}
+	return set
+}
+
+// inForce is what a host keeps of a configuration set.
+type inForce struct {
+	decoder  *config.Decoder
+	values   map[mp.ConfigKey]mp.Value
+	set      *config.Set
+	snapshot *blackboard.Snapshot
+}
+
+func putInForce(organisations int) (*inForce, error) {
+	decoder, err := config.NewDecoder()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	in := &inForce{decoder: decoder, values: values(organisations)}
+	return in, in.apply(1)
+}
+
+func (in *inForce) apply(revision mp.Revision) error {
+	set, faults := in.decoder.Decode(revision, in.values)
+	if set == nil {
+		return errors.Trace(faults)
+	}
+	bo := blackboard.New("h", "d")
+	bo.Config = set
+	in.set, in.snapshot = set, blackboard.NewSnapshot(bo)
+	return nil
+}
+
+func measureConfiguration(_ context.Context, re *Result) error {
+	var memory, apply []Point
+	for _, count := range []int{200, 600, 1200, 1800} {
+		var failed error
+		memory = append(memory, Point{X: float64(count), Y: memoryOf(func() any {
+			in, err := putInForce(count)
+			failed = err
+			return in
+		})})
+		if failed != nil {
+			return errors.Trace(failed)
+		}
+		point, err := applyTime(count)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		apply = append(apply, point)
+	}
+	re.addSlope(ContractMemory, "contracts", "bytes", memory)
+	re.addSlope(ApplyTime, "contracts", "ns", apply)
+	re.addFigure(ValueSize, float64(len(contract(1))), "bytes")
+	return nil
+}
+
+// applyTime measures a change of one contract among many.
+func applyTime(count int) (Point, error) {
+	in, err := putInForce(count)
+	if err != nil {
+		return Point{}, errors.Trace(err)
+	}
+	const changes = 20
+	key := config.ContractKey(organisationName(0))
+	var failed error
+	nanoseconds := timeOf(changes, func(ix int) {
+		revision := mp.Revision(ix + 2)
+		in.values[key] = mp.Value{Key: key, Revision: revision, Value: contract(0)}
+		if err := in.apply(revision); err != nil {
+			failed = err
+		}
+	})
+	return Point{X: float64(count), Y: nanoseconds}, errors.Trace(failed)
+}
--- /dev/null
+++ b/capacity/page.go
@@ -0,0 +1,198 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/mangopaddle/mangopaddle/bench"
+)
+
+// Write prints the tables of the capacity page in Markdown.
+func (mo *Model) Write(out io.Writer, budget Budget) {
+	mo.writeSize(out)
+	mo.writeRoles(out, budget)
+	mo.writeRequestPath(out)
+	mo.writePlatform(out)
+	mo.writeFailures(out)
+	mo.writeSlopes(out)
+}
+
+func (mo *Model) writeSize(out io.Writer) {
+	si := mo.size
+	fmt.Fprintf(out, "### Size\n\n")
+	writeRow(out, "quantity", "total", "for each host", "for each data centre")
+	writeRow(out, "---", "---:", "---:", "---:")
+	writeRow(out, "hosts", number(si.Hosts), "1", number(mo.hostsOfDC()))
+	writeRow(out, "engines", number(si.Engines), number(si.Engines/si.Hosts), number(mo.enginesOfDC()))
+	writeRow(out, "requests/s", number(si.Requests), number(si.Requests/si.Hosts), number(si.Requests/si.DataCentres))
+	writeRow(out, "tokens/s", number(si.Tokens), number(si.Tokens/si.Hosts), number(si.Tokens/si.DataCentres))
+	writeRow(out, "in flight at 54 ms a token", number(mo.InFlight()*si.Hosts), number(mo.InFlight()), number(mo.InFlight()*mo.hostsOfDC()))
+	writeRow(out, "organisations; models", number(si.Organisations)+"; "+number(si.Models), "", "")
+	fmt.Fprintln(out)
+}
+
+// writeRoles prints what each role costs a host. What is over the budget is
+// set in bold.
+func (mo *Model) writeRoles(out io.Writer, budget Budget) {
+	fmt.Fprintf(out, "### Control, for each host\n\n")
+	writeRow(out, "role", "built", "memory", "messages/s", "bytes/s", "of a core", "busiest: memory", "bytes/s", "of a core")
+	writeRow(out, "---", "---", "---:", "---:", "---:", "---:", "---:", "---:", "---:")
+	for _, ro := range mo.Roles() {
+		built := "no"
+		if ro.Built {
+			built = "yes"
+		}
+		writeRow(out, append([]string{ro.Name, built}, costCells(ro.Mean, ro.Busiest, budget)...)...)
+	}
+	built := mo.Built()
+	writeRow(out, append([]string{"**sum of what runs today**", ""}, costCells(built, built, budget)...)...)
+	mean, busiest := mo.Planned()
+	writeRow(out, append([]string{"**sum with the planned roles**", ""}, costCells(mean, busiest, budget)...)...)
+	writeRow(out, "budget", "", bytesText(float64(budget.Memory)), "", bytesText(budget.Traffic), percent(budget.Processor), bytesText(float64(budget.Memory)), bytesText(budget.Traffic), percent(budget.Processor))
+	fmt.Fprintf(out, "\nBold figures are over the budget.\n\n")
+	writeRow(out, "role", "state", "mechanism")
+	writeRow(out, "---", "---", "---")
+	for _, ro := range mo.Roles() {
+		writeRow(out, ro.Name, ro.State, ro.Mechanism)
+	}
+	fmt.Fprintln(out)
+}
+
+func costCells(mean, busiest Cost, budget Budget) []string {
+	return []string{
+		over(bytesText(mean.Memory), mean.Memory > float64(budget.Memory)),
+		number(mean.Messages),
+		over(bytesText(mean.Traffic), mean.Traffic > budget.Traffic),
+		over(percent(mean.Processor), mean.Processor > budget.Processor),
+		over(bytesText(busiest.Memory), busiest.Memory > float64(budget.Memory)),
+		over(bytesText(busiest.Traffic), busiest.Traffic > budget.Traffic),
+		over(percent(busiest.Processor), busiest.Processor > budget.Processor),
+	}
+}
+
+func (mo *Model) writeRequestPath(out io.Writer) {
+	co := mo.RequestPath()
+	fmt.Fprintf(out, "### Request path, for each host (not control)\n\n")
+	writeRow(out, "memory of open streams", "chunks and requests/s", "bytes/s", "cores")
+	writeRow(out, "---:", "---:", "---:", "---:")
+	writeRow(out, bytesText(co.Memory), number(co.Messages), bytesText(co.Traffic), fmt.Sprintf("%.2f", co.Processor))
+	fmt.Fprintln(out)
+}
+
+func (mo *Model) writePlatform(out io.Writer) {
+	pc := mo.PlatformCalls()
+	fmt.Fprintf(out, "### Calls at the platform (limit 2,000/s, a waiting watch counts as one)\n\n")
+	writeRow(out, "", "every host reads (today)", "three watchers for each data centre (planned)")
+	writeRow(out, "---", "---:", "---:")
+	writeRow(out, "steady, calls/s", number(pc.Today), number(pc.Planned))
+	writeRow(out, "all hosts restart, calls", number(pc.Restart), number(pc.PlannedRestart))
+	writeRow(out, "at half of the limit these take", fmt.Sprintf("%.0f s", pc.Restart/1000), fmt.Sprintf("%.0f s", pc.PlannedRestart/1000))
+	fmt.Fprintln(out)
+}
+
+// writeFailures prints what the failures of an ordinary day cost.
+func (mo *Model) writeFailures(out io.Writer) {
+	si := mo.size
+	perDC := mo.hostsOfDC()
+	fmt.Fprintf(out, "### Failures\n\n")
+	writeRow(out, "event", "how often", "requests in flight that callers lose", "control messages", "recovery")
+	writeRow(out, "---", "---", "---:", "---:", "---")
+	writeRow(out, "a host crashes", number(si.Lost)+"/day", number(mo.InFlight()), number(perDC*2), "callers repeat at another host; no state to rebuild; the hosts' count is right when the platform's list is")
+	writeRow(out, "a host is replaced", number(si.Replaced)+"/day", "0", number(perDC*2), "lame duck, then every answer is finished")
+	writeRow(out, "a rack or switch (10 hosts)", "weekly", number(10*mo.InFlight()), number(10*perDC*2), "as ten crashes; the other hosts of the data centre carry "+percent(10/max(11, perDC))+" more")
+	writeRow(out, "a data centre", "a few a year", number(perDC*mo.InFlight()), number(perDC*2), percent(1/si.DataCentres)+" of the traffic; callers are led elsewhere by the balancer")
+	writeRow(out, "a region is cut off for an hour", "now and then", "0 of its own callers", "0", "each side serves its callers from its own engines and keeps its last configuration")
+	fmt.Fprintln(out)
+}
+
+func (mo *Model) writeSlopes(out io.Writer) {
+	fmt.Fprintf(out, "### Slopes\n\n")
+	writeRow(out, "slope", "at zero", "per x", "x", "unit", "points", "measured to", "used at", "factor", "R²")
+	writeRow(out, "---", "---:", "---:", "---", "---", "---:", "---:", "---:", "---:", "---:")
+	for _, sl := range mo.result.Slopes {
+		used := mo.usedAt(sl.Name)
+		writeRow(out, sl.Name, number(sl.Intercept), number(sl.PerX), sl.XUnit, sl.YUnit, number(float64(len(sl.Points))), number(sl.MaxX()), number(used), fmt.Sprintf("%.1f", used/sl.MaxX()), fmt.Sprintf("%.4f", sl.RSquared))
+	}
+	fmt.Fprintln(out)
+	writeRow(out, "figure", "value", "unit")
+	writeRow(out, "---", "---:", "---")
+	for _, fi := range mo.result.Figures {
+		writeRow(out, fi.Name, number(fi.Value), fi.Unit)
+	}
+}
+
+// usedAt returns the X at which the page reads a slope.
+func (mo *Model) usedAt(name string) float64 {
+	classes := mo.size.Organisations * classesPerOrg
+	switch name {
+	case bench.DecisionTime:
+		return mo.enginesOfDC() / mo.size.Models
+	case bench.EngineMemory:
+		return mo.enginesOfDC()
+	case bench.ScheduleOrgMemory, bench.MeterMemory, bench.OutcomesSize:
+		return classes
+	case bench.ContractMemory, bench.ApplyTime:
+		return mo.size.Organisations
+	case bench.StreamMemory:
+		return mo.InFlight()
+	case bench.ListSizeByHost:
+		return mo.size.Hosts
+	case bench.ListSizeByServer:
+		return mo.size.Engines
+	case bench.UseSize, bench.FractionSize:
+		return mo.activeClasses(useInterval) / max(1, mo.hostsOfDC()-1)
+	case bench.EngineStateSize:
+		return mo.size.Requests / mo.size.Engines
+	case bench.CodecTime:
+		return mo.figure(bench.ConfigChangeSize)
+	default:
+		return 1
+	}
+}
+
+func writeRow(out io.Writer, cells ...string) {
+	fmt.Fprintf(out, "| %s |\n", strings.Join(cells, " | "))
+}
+
+func over(text string, isOver bool) string {
+	if isOver {
+		return "**" + text + "**"
+	}
+	return text
+}
+
+func number(value float64) string {
+	switch {
+	case value != 0 && value < 10 && value > -10:
+		return fmt.Sprintf("%.3g", value)
+	default:
+		return grouped(fmt.Sprintf("%.0f", value))
+	}
+}
+
+// grouped puts commas between thousands.
+func grouped(digits string) string {
+	sign := ""
+	if strings.HasPrefix(digits, "-") {
+		sign, digits = "-", digits[1:]
+	}
+	for ix := len(digits) - 3; ix > 0; ix -= 3 {
+		digits = digits[:ix] + "," + digits[ix:]
+	}
+	return sign + digits
+}
+
+func percent(share float64) string {
+	return fmt.Sprintf("%.2f %%", 100*share)
+}
+
+func bytesText(value float64) string {
+	units := []string{"B", "KB", "MB", "GB"}
+	unit := 0
+	for value >= 1024 && unit < len(units)-1 {
+		value /= 1024
+		unit++
+	}
+	return fmt.Sprintf("%.3g %s", value, units[unit])
+}
--- /dev/null
+++ b/cmd/mangopaddle/bench.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/bench"
+)
+
+// benchCommand measures the slopes of the capacity page.
+type benchCommand struct {
+	stdout, stderr io.Writer
+	out            string
+	limit          time.Duration
+}
+
+func newBench(stdout, stderr io.Writer) *benchCommand {
+	return &benchCommand{stdout: stdout, stderr: stderr}
+}
+
+func (be *benchCommand) command() *ffcli.Command {
+	set := flags("bench", be.stderr)
+	set.StringVar(&be.out, "out", "", "file for the result as JSON, for \"mangopaddle capacity\"")
+	set.DurationVar(&be.limit, "limit", 2*time.Minute, "longest time of the measurement")
+	return &ffcli.Command{
+		Name:       "bench",
+		ShortUsage: "mangopaddle bench [--out FILE]",
+		ShortHelp:  "Measure the slopes from which the capacity page is worked out.",
+		FlagSet:    set,
+		Exec:       be.run,
+	}
+}
+
+func (be *benchCommand) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, be.limit)
+	defer cancel()
+	re, err := bench.Run(ctx, func(name string) { fmt.Fprintln(be.stderr, "measuring", name) })
+	if err != nil {
+		return errors.Trace(err)
+	}
+	be.print(re)
+	if be.out == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(re, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(be.out, append(text, '\n'), fileMode))
+}
+
+func (be *benchCommand) print(re *bench.Result) {
+	table := tabwriter.NewWriter(be.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "slope\tat zero\tper x\tx\tunit\tpoints\tup to\tR²")
+	for _, sl := range re.Slopes {
+		fmt.Fprintf(table, "%s\t%.5g\t%.5g\t%s\t%s\t%d\t%.0f\t%.4f\n", sl.Name, sl.Intercept, sl.PerX, sl.XUnit, sl.YUnit, len(sl.Points), sl.MaxX(), sl.RSquared)
+	}
+	fmt.Fprintln(table, "figure\tvalue\tunit")
+	for _, fi := range re.Figures {
+		fmt.Fprintf(table, "%s\t%.5g\t%s\n", fi.Name, fi.Value, fi.Unit)
+	}
+	_ = table.Flush()
+}
--- /dev/null
+++ b/cmd/mangopaddle/capacity.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/bench"
+	"github.com/mangopaddle/mangopaddle/capacity"
+)
+
+// capacityCommand prints the tables of the capacity page.
+type capacityCommand struct {
+	stdout, stderr io.Writer
+	from           string
+	today          bool
+	size           capacity.Size
+}
+
+func newCapacity(stdout, stderr io.Writer) *capacityCommand {
+	return &capacityCommand{stdout: stdout, stderr: stderr, size: capacity.TargetSize()}
+}
+
+func (ca *capacityCommand) command() *ffcli.Command {
+	set := flags("capacity", ca.stderr)
+	set.StringVar(&ca.from, "from", "", "result of \"mangopaddle bench --out FILE\"")
+	set.BoolVar(&ca.today, "today", false, "work out one of today's deployments instead of the size of the flags")
+	set.Float64Var(&ca.size.Hosts, "hosts", ca.size.Hosts, "entry hosts")
+	set.Float64Var(&ca.size.Engines, "engines", ca.size.Engines, "model engines")
+	set.Float64Var(&ca.size.DataCentres, "data-centres", ca.size.DataCentres, "data centres")
+	set.Float64Var(&ca.size.Organisations, "organisations", ca.size.Organisations, "organisations")
+	set.Float64Var(&ca.size.Models, "models", ca.size.Models, "models")
+	set.Float64Var(&ca.size.Requests, "requests", ca.size.Requests, "requests a second at the peak")
+	set.Float64Var(&ca.size.Tokens, "tokens", ca.size.Tokens, "tokens a second at the peak")
+	set.Float64Var(&ca.size.Changes, "changes", ca.size.Changes, "configuration changes a day")
+	set.Float64Var(&ca.size.Calls, "calls", ca.size.Calls, "part of the requests that may not be repeated")
+	set.Float64Var(&ca.size.Lost, "lost", ca.size.Lost, "hosts that fail a day")
+	set.Float64Var(&ca.size.Replaced, "replaced", ca.size.Replaced, "hosts that are replaced a day")
+	return &ffcli.Command{
+		Name:       "capacity",
+		ShortUsage: "mangopaddle capacity --from FILE [--hosts N] [--engines N] …",
+		ShortHelp:  "Print what each role costs at a size, from measured slopes.",
+		FlagSet:    set,
+		Exec:       ca.run,
+	}
+}
+
+func (ca *capacityCommand) run(_ context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	text, err := os.ReadFile(ca.from)
+	if err != nil {
+		return errors.Annotate(err, "result of the measurement")
+	}
+	var re bench.Result
+	if err := json.Unmarshal(text, &re); err != nil {
+		return errors.Annotatef(err, "result %q", ca.from)
+	}
+	size := ca.size
+	if ca.today {
+		size = capacity.TodaySize()
+	}
+	capacity.New(size, &re).Write(ca.stdout, capacity.TargetBudget())
+	return nil
+}
--- a/cmd/mangopaddle/root.go
+++ b/cmd/mangopaddle/root.go
@@ -60,6 +60,8 @@
 			newInit(stdout, stderr).command(),
 			newSchema(stdout, stderr).command(),
 			newHealthcheck(stdout, stderr).command(),
+			newBench(stdout, stderr).command(),
+			newCapacity(stdout, stderr).command(),
 			newVersion(stdout, stderr).command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/engine/client.go
+++ b/engine/client.go
@@ -26,7 +26,7 @@
 	cancelTimeout  = 2 * time.Second
 	idleTimeout    = 30 * time.Second
 	idlePerEngine  = 64 // connections
-	readBuffer     = 4 * int(mp.Kibibyte)
+	readBuffer     = int(mp.Kibibyte)
 	maxRefusal     = 64 * mp.Kibibyte // of an engine's error answer
 	maxEvent       = mp.Mebibyte
 )
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -26,7 +26,7 @@
 
 // expect returns the expected time to the first token.
 func (en *engine) expect(now time.Time, wo *mp.Work, occupancy int, meanAnswer mp.Tokens) time.Duration {
-	uncached := wo.Prompt - min(en.sketch.Cached(now, wo.PrefixID), wo.PrefixTokens)
+	uncached := wo.Prompt - en.cached(now, wo)
 	expected := time.Duration(uncached) * initialPrefill
 	expected += en.gap + en.gap*time.Duration(occupancy)/time.Duration(en.Slots)
 	if over := occupancy + 1 - en.Slots; over > 0 {
@@ -61,6 +61,7 @@
 func (sc *Scheduler) best(now time.Time, group *group, wo *mp.Work, not mp.EngineID, relaxed, remote bool) choice {
 	var found choice
 	ties := 0
+	meanAnswer := group.meanAnswer()
 	for _, en := range group.engines {
 		if en.Leaving || en.ID == not || en.isEjected(now) || (en.Distance == OtherRegion) != remote {
 			continue
@@ -69,7 +70,7 @@
 		if !relaxed && !en.hasRoom(occupancy, wo.Tier) {
 			continue
 		}
-		expected := en.expect(now, wo, occupancy, group.meanAnswer())
+		expected := en.expect(now, wo, occupancy, meanAnswer)
 		score := expected + en.currentLag(now)
 		switch {
 		case found.engine == nil || score < found.score:
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -60,7 +60,7 @@
 // engine is what the scheduler knows of an engine.
 type engine struct {
 	Engine
-	sketch affinity.Sketch
+	sketch *affinity.Sketch // nil until a prefix was sent
 
 	own      int // this host's requests in flight
 	others   int // other hosts' requests, by the last report
@@ -79,6 +79,25 @@
 	return &engine{Engine: en, limit: float64(en.Slots), gap: initialGap}
 }
 
+// note records that the engine was sent a prefix.
+func (en *engine) note(now time.Time, wo *mp.Work) {
+	if wo.PrefixID == 0 {
+		return
+	}
+	if en.sketch == nil {
+		en.sketch = affinity.New()
+	}
+	en.sketch.Note(now, wo.PrefixID, wo.PrefixTokens)
+}
+
+// cached returns how much of the request's prefix the engine probably has.
+func (en *engine) cached(now time.Time, wo *mp.Work) mp.Tokens {
+	if en.sketch == nil {
+		return 0
+	}
+	return min(en.sketch.Cached(now, wo.PrefixID), wo.PrefixTokens)
+}
+
 // update takes a changed description.
 func (en *engine) update(description Engine) {
 	if description.Slots != en.Slots {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -257,7 +257,7 @@
 func (sc *Scheduler) start(now time.Time, jo *job, ch choice) {
 	jo.engine, jo.expected = ch.engine, ch.expected
 	ch.engine.own++
-	ch.engine.sketch.Note(now, jo.work.PrefixID, jo.work.PrefixTokens)
+	ch.engine.note(now, &jo.work)
 }
 
 // Next implements mangopaddle.Scheduler.
