Meet the stated outcomes in 16 scenes: priorities at the engine, fresh loads only

Change: the decision carries an engine priority (tier, then promised use, spare last) and tiers 0 to 2 may queue at an engine for a part of their target; spare requests are not charged; loads are read every second, reports say their age, and one older than 1.5 s is not used; a request leaves its region only if home does not keep 0.3 of its target; engines that can't be reached are avoided at once. Conclusion: tier order across hosts holds in the engine's queue.

--- a/caller/body.go
+++ b/caller/body.go
@@ -125,9 +125,9 @@
 }
 
 // engineBody returns the body that is sent to the engine: always a stream with
-// its usage at the end, with the tier as the engine's priority. Fields that the
-// router does not know stay as they are.
-func engineBody(body []byte, tier mp.Tier) ([]byte, error) {
+// its usage at the end, with the request's priority. Fields that the router does
+// not know stay as they are.
+func engineBody(body []byte, priority int) ([]byte, error) {
 	out, err := sjson.SetBytes(body, "stream", true)
 	if err != nil {
 		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream\" cannot be set")
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream_options\" cannot be set")
 	}
-	out, err = sjson.SetBytes(out, "priority", int(tier))
+	out, err = sjson.SetBytes(out, "priority", priority)
 	if err != nil {
 		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"priority\" cannot be set")
 	}
--- a/caller/completion.go
+++ b/caller/completion.go
@@ -32,10 +32,6 @@
 	if !class.AllowsModel(cm.model) {
 		return mp.NewError(mp.KindModelNotAllowed, "class %q may not use model %q", class.Name, cm.model)
 	}
-	body, err = engineBody(body, class.Tier)
-	if err != nil {
-		return err
-	}
 	ru := &run{
 		server:   se,
 		exchange: ex,
--- a/caller/run.go
+++ b/caller/run.go
@@ -58,6 +58,10 @@
 		return err
 	}
 	ru.lease = lease
+	if ru.body, err = engineBody(ru.body, lease.Priority()); err != nil {
+		lease.Release(mp.Outcome{})
+		return err
+	}
 	ru.sink = ru.newSink()
 	err = ru.attempts(ctx)
 	if err == nil {
@@ -104,7 +108,9 @@
 		}
 		ru.outcome.Resumed(ru.wasted())
 		ru.server.retries.pause(ctx, ru.server, attempts)
-		if err := ru.lease.Reassign(ru.result(true)); err != nil {
+		outcome := ru.result(true)
+		outcome.Unreachable = failure.Unreachable()
+		if err := ru.lease.Reassign(outcome); err != nil {
 			return ru.giveUp(err)
 		}
 	}
--- /dev/null
+++ b/cmd/mangopaddle/replay.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/replay"
+	"github.com/mangopaddle/mangopaddle/trace"
+)
+
+// replayCommand runs a trace through the decisions.
+type replayCommand struct {
+	stdout, stderr io.Writer
+	trace          string
+	spec           string
+	contracts      string
+	policy         string
+	expect         string
+	hosts          int
+	asJSON         bool
+	html           string
+}
+
+func newReplay(stdout, stderr io.Writer) *replayCommand {
+	return &replayCommand{stdout: stdout, stderr: stderr}
+}
+
+func (re *replayCommand) command() *ffcli.Command {
+	set := flags("replay", re.stderr)
+	set.StringVar(&re.trace, "trace", "", "trace of JSON lines")
+	set.StringVar(&re.spec, "spec", "", "specification to generate the trace from, instead of --trace")
+	set.StringVar(&re.contracts, "contracts", ".", "directory with fleet.json and contracts/NAME.json")
+	set.StringVar(&re.policy, "policy", string(replay.PolicyMangopaddle), "what decides: mangopaddle, round-robin, least-load or fifo")
+	set.StringVar(&re.expect, "expect", "", "file with stated outcomes; exit 1 if one is not met")
+	set.IntVar(&re.hosts, "hosts", 3, "entry hosts of each data centre")
+	set.BoolVar(&re.asJSON, "json", false, "print the result as JSON")
+	set.StringVar(&re.html, "html", "", "file for a page with plots")
+	return &ffcli.Command{
+		Name:       "replay",
+		ShortUsage: "mangopaddle replay --trace FILE --contracts DIR [--policy NAME] [--expect FILE]",
+		ShortHelp:  "Run a trace through the decisions in virtual time and print the outcomes by class.",
+		FlagSet:    set,
+		Exec:       re.run,
+	}
+}
+
+func (re *replayCommand) run(_ context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	set, faults, err := decodeDirectory(re.contracts)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if set == nil {
+		return errors.Annotatef(faults, "contracts in %q", re.contracts)
+	}
+	lines, err := re.lines(set)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	result, err := replay.Run(set, lines, replay.WithPolicy(replay.Policy(re.policy)), replay.WithHosts(re.hosts))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := re.print(result); err != nil {
+		return errors.Trace(err)
+	}
+	return re.check(result)
+}
+
+func (re *replayCommand) lines(set *config.Set) ([]trace.Line, error) {
+	if re.spec == "" {
+		file, err := os.Open(re.trace)
+		if err != nil {
+			return nil, errors.Annotate(err, "trace")
+		}
+		defer file.Close()
+		return trace.Read(file)
+	}
+	var spec trace.Spec
+	if err := readJSON(re.spec, &spec); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return trace.Generate(spec, set)
+}
+
+// readJSON reads a JSON file into a value.
+func readJSON(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotatef(json.Unmarshal(text, into), "file %q", path)
+}
+
+func (re *replayCommand) print(rs *replay.Result) error {
+	if re.html != "" {
+		file, err := os.Create(re.html)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer file.Close()
+		if err := rs.WriteHTML(file, re.policy); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if re.asJSON {
+		encoder := json.NewEncoder(re.stdout)
+		encoder.SetIndent("", "  ")
+		return errors.Trace(encoder.Encode(rs))
+	}
+	table := tabwriter.NewWriter(re.stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\ttier\toffered\tcompleted\trefused\tfirst token\tpromised\tp95\tbetween tokens\tgoodput\twasted\tremote bytes\t")
+	for _, cr := range rs.Classes {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%.4f\t%.4f\t%.3fs\t%.4f\t%d\t%d\t%d\t\n", cr.Class, cr.Tier, cr.Offered, cr.Completed, cr.RefusedTotal(),
+			cr.FirstToken(), cr.FirstTokenPromised(), cr.FirstTokenP95().Seconds(), cr.BetweenTokens(), cr.Goodput, cr.Wasted, cr.RemoteBytes)
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	fmt.Fprintf(re.stdout, "goodput %.4f of capacity, wasted %.4f, preempted %d, lost %d, doubled %d\n",
+		rs.GoodputOfCapacity, rs.WastedPart, rs.Preempted, rs.Lost, rs.Doubled)
+	return nil
+}
+
+func (re *replayCommand) check(rs *replay.Result) error {
+	if re.expect == "" {
+		return nil
+	}
+	var expectations []replay.Expectation
+	if err := readJSON(re.expect, &expectations); err != nil {
+		return errors.Trace(err)
+	}
+	unmet := rs.Check(expectations)
+	for _, un := range unmet {
+		fmt.Fprintln(re.stdout, "not met:", un)
+	}
+	if len(unmet) > 0 {
+		return errFailed
+	}
+	fmt.Fprintf(re.stdout, "%d expectations met\n", len(expectations))
+	return nil
+}
--- a/cmd/mangopaddle/root.go
+++ b/cmd/mangopaddle/root.go
@@ -62,6 +62,8 @@
 			newHealthcheck(stdout, stderr).command(),
 			newBench(stdout, stderr).command(),
 			newCapacity(stdout, stderr).command(),
+			newReplay(stdout, stderr).command(),
+			newTrace(stdout, stderr).command(),
 			newVersion(stdout, stderr).command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/config/contract.go
+++ b/config/contract.go
@@ -51,7 +51,8 @@
 type Share struct {
 	// PromisedTokensPerSecond is served before any use above a share.
 	PromisedTokensPerSecond mp.TokensPerSecond `json:"promised_tokens_per_second,omitempty" jsonschema:"minimum=0"`
-	// MostTokensPerSecond is the upper limit; zero sets none.
+	// MostTokensPerSecond is the most that may be claimed; more is served only
+	// while engines have room to spare. Zero sets no limit.
 	MostTokensPerSecond mp.TokensPerSecond `json:"most_tokens_per_second,omitempty" jsonschema:"minimum=0"`
 	// MostConcurrency is how many requests may wait or run in a data centre;
 	// zero sets no limit.
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -56,9 +56,11 @@
 // NotRun says that it is certain that the engine did nothing: it refused the
 // request, or could not be reached.
 func (fa *Failure) NotRun() bool {
-	if fa.Stage == StageRefused {
-		return true
-	}
+	return fa.Stage == StageRefused || fa.Unreachable()
+}
+
+// Unreachable says that no connection to the engine came about.
+func (fa *Failure) Unreachable() bool {
 	operation, ok := errors.AsType[*net.OpError](fa.cause)
 	return fa.Stage == StageSend && ok && operation.Op == "dial"
 }
--- a/enginemodel/engine.go
+++ b/enginemodel/engine.go
@@ -22,6 +22,9 @@
 	PrefillPerToken time.Duration
 	// PrefillChunk bounds the prompt tokens that one iteration computes.
 	PrefillChunk mp.Tokens
+	// Preempts says that a waiting sequence takes the slot of a running one of
+	// lower priority.
+	Preempts bool
 	// CacheTokens bounds the prompt prefixes that are kept.
 	CacheTokens mp.Tokens
 }
@@ -177,6 +180,9 @@
 // preempt frees the slot of the running sequence that comes last, if it has a
 // lower priority than the candidate.
 func (en *Engine) preempt(candidate *Sequence) bool {
+	if !en.pa.Preempts {
+		return false
+	}
 	last := 0
 	for ix, sq := range en.running {
 		if before(en.running[last], sq) {
@@ -194,9 +200,14 @@
 	return true
 }
 
+// prefill computes prompts, those of the highest priority first.
 func (en *Engine) prefill() mp.Tokens {
 	left := en.pa.PrefillChunk
-	for _, sq := range en.running {
+	for left > 0 {
+		sq := en.nextPrompt()
+		if sq == nil {
+			break
+		}
 		part := min(left, sq.uncached)
 		sq.uncached -= part
 		left -= part
@@ -204,6 +215,18 @@
 	return en.pa.PrefillChunk - left
 }
 
+// nextPrompt returns the running sequence whose prompt is computed next; nil if
+// none is left.
+func (en *Engine) nextPrompt() *Sequence {
+	var next *Sequence
+	for _, sq := range en.running {
+		if sq.uncached > 0 && (next == nil || before(sq, next)) {
+			next = sq
+		}
+	}
+	return next
+}
+
 func (en *Engine) decode() {
 	kept := en.running[:0]
 	for _, sq := range en.running {
--- a/fakeengine/control.go
+++ b/fakeengine/control.go
@@ -59,6 +59,7 @@
 		en.reportAt = now
 	}
 	load := en.report
+	load.Age = mp.Duration(now.Sub(en.reportAt))
 	en.mu.Unlock()
 	answer(rw, load)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -105,7 +105,7 @@
 		if !ok {
 			break
 		}
-		po.tell(st.ID, mp.Decision{Verdict: mp.VerdictStart, Engine: st.Engine})
+		po.tell(st.ID, mp.Decision{Verdict: mp.VerdictStart, Engine: st.Engine, Priority: st.Priority})
 	}
 }
 
@@ -159,7 +159,7 @@
 	if de.Verdict == mp.VerdictRefuse {
 		return nil, refusal(de)
 	}
-	return &Lease{pool: po, id: id, engine: de.Engine, started: po.clock.Now()}, nil
+	return &Lease{pool: po, id: id, engine: de.Engine, priority: de.Priority, started: po.clock.Now()}, nil
 }
 
 func refusal(de mp.Decision) error {
@@ -185,15 +185,19 @@
 
 // Lease is a request's place on an engine.
 type Lease struct {
-	pool    *Pool
-	id      mp.RequestID
-	engine  mp.EngineID
-	started time.Time
+	pool     *Pool
+	id       mp.RequestID
+	engine   mp.EngineID
+	priority int
+	started  time.Time
 }
 
 // Engine returns the engine to run on.
 func (le *Lease) Engine() mp.EngineID { return le.engine }
 
+// Priority returns the request's place in the order of the engine's queue.
+func (le *Lease) Priority() int { return le.priority }
+
 // Started returns when the engine was given to the request.
 func (le *Lease) Started() time.Time { return le.started }
 
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -4,7 +4,6 @@
 
 import (
 	"github.com/mangopaddle/mangopaddle/blackboard"
-	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/pool"
 	"github.com/mangopaddle/mangopaddle/schedule"
 )
@@ -32,36 +31,8 @@
 		return nil
 	}
 	bo.Changed = false
-	co.pool.Configure(engines(bo), bo.Hosts)
+	engines := schedule.EnginesOf(&bo.Config.Fleet, bo.DataCentre, bo.LeavingServers)
+	co.pool.Configure(engines, bo.Hosts)
 	co.view.Store(blackboard.NewSnapshot(bo))
 	return nil
 }
-
-// engines returns the fleet's engines as the scheduler sees them.
-func engines(bo *blackboard.Board) []schedule.Engine {
-	fleet := &bo.Config.Fleet
-	list := make([]schedule.Engine, 0, len(fleet.Engines))
-	for ix := range fleet.Engines {
-		en := &fleet.Engines[ix]
-		list = append(list, schedule.Engine{
-			ID:       en.Name,
-			Models:   en.Models,
-			Slots:    en.Slots,
-			Distance: distance(bo, en),
-			Leaving:  bo.LeavingServers[string(en.Name)],
-		})
-	}
-	return list
-}
-
-func distance(bo *blackboard.Board, en *config.Engine) schedule.Distance {
-	fleet := &bo.Config.Fleet
-	switch {
-	case en.DataCentre == bo.DataCentre:
-		return schedule.SameDataCentre
-	case fleet.RegionOf(en.DataCentre) == fleet.RegionOf(bo.DataCentre):
-		return schedule.SameRegion
-	default:
-		return schedule.OtherRegion
-	}
-}
--- /dev/null
+++ b/replay/page.go
@@ -0,0 +1,82 @@
+package replay
+
+import (
+	"bytes"
+	"html/template"
+	"io"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 14 // points
+)
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>Replay with {{.Policy}}</title>
+<style>body{font-family:sans-serif;margin:2em}td,th{padding:.2em .8em;text-align:right}td:first-child,th:first-child{text-align:left}</style>
+</head><body><h1>Replay with {{.Policy}}</h1>
+<p>Goodput {{printf "%.4f" .Result.GoodputOfCapacity}} of capacity, wasted {{printf "%.4f" .Result.WastedPart}}, lost {{.Result.Lost}}, doubled {{.Result.Doubled}}.</p>
+<table><tr><th>class</th><th>tier</th><th>offered</th><th>completed</th><th>refused</th><th>first token in time</th><th>of promised</th><th>between tokens in time</th><th>goodput</th><th>wasted</th></tr>
+{{range .Result.Classes}}<tr><td>{{.Class}}</td><td>{{.Tier}}</td><td>{{.Offered}}</td><td>{{.Completed}}</td><td>{{.RefusedTotal}}</td><td>{{printf "%.4f" .FirstToken}}</td><td>{{printf "%.4f" .FirstTokenPromised}}</td><td>{{printf "%.4f" .BetweenTokens}}</td><td>{{.Goodput}}</td><td>{{.Wasted}}</td></tr>
+{{end}}</table>
+{{range .Plots}}{{.}}{{end}}
+</body></html>
+`))
+
+type pageData struct {
+	Policy string
+	Result *Result
+	Plots  []template.HTML
+}
+
+// WriteHTML writes one self-contained page with tables and plots.
+func (rs *Result) WriteHTML(out io.Writer, policy string) error {
+	data := pageData{Policy: policy, Result: rs}
+	for _, of := range []struct {
+		title string
+		value func(cr *ClassResult) float64
+	}{
+		{"First token in time, part of offered", (*ClassResult).FirstToken},
+		{"Between tokens in time, part of gaps", (*ClassResult).BetweenTokens},
+	} {
+		svg, err := rs.bars(of.title, of.value)
+		if err != nil {
+			return errors.Annotatef(err, "plot %q", of.title)
+		}
+		data.Plots = append(data.Plots, svg)
+	}
+	return errors.Trace(page.Execute(out, data))
+}
+
+func (rs *Result) bars(title string, value func(cr *ClassResult) float64) (template.HTML, error) {
+	var values plotter.Values
+	var names []string
+	for _, cr := range rs.Classes {
+		values = append(values, value(cr))
+		names = append(names, string(cr.Class))
+	}
+	pl := plot.New()
+	pl.Title.Text = title
+	pl.Y.Min, pl.Y.Max = 0, 1
+	chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	pl.Add(chart)
+	pl.NominalX(names...)
+	writer, err := pl.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	var svg bytes.Buffer
+	if _, err := writer.WriteTo(&svg); err != nil {
+		return "", errors.Trace(err)
+	}
+	return template.HTML(svg.String()), nil
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,134 @@
+package replay_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/replay"
+	"github.com/mangopaddle/mangopaddle/trace"
+)
+
+// weighedMost is the class whose attainment each user weighs most.
+var weighedMost = map[string]mp.ClassName{
+	"grondwater": "quote-drafts",
+	"glassround": "driver-questions",
+}
+
+func readJSON(t *testing.T, path string, into any) {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, json.Unmarshal(text, into), path)
+}
+
+func exampleSet(t *testing.T, user string) *config.Set {
+	t.Helper()
+	values, err := config.ReadDirectory(filepath.Join("..", "examples", user))
+	require.NoError(t, err)
+	decoder, err := config.NewDecoder()
+	require.NoError(t, err)
+	set, faults := decoder.Decode(1, values)
+	require.NotNil(t, set, faults.Error())
+	return set
+}
+
+// scene is one recorded scene of a user.
+type scene struct {
+	user, name, path string
+	set              *config.Set
+	lines            []trace.Line
+}
+
+// eachScene runs a check on every recorded scene of both users.
+func eachScene(t *testing.T, check func(t *testing.T, sc scene)) {
+	t.Helper()
+	paths, err := filepath.Glob(filepath.Join("testdata", "*", "*.spec.json"))
+	require.NoError(t, err)
+	require.Len(t, paths, 16)
+	for _, path := range paths {
+		sc := scene{
+			user: filepath.Base(filepath.Dir(path)),
+			name: strings.TrimSuffix(filepath.Base(path), ".spec.json"),
+			path: path,
+		}
+		t.Run(sc.user+"_"+sc.name, func(t *testing.T) {
+			t.Parallel()
+			sc.set = exampleSet(t, sc.user)
+			var spec trace.Spec
+			readJSON(t, path, &spec)
+			var err error
+			sc.lines, err = trace.Generate(spec, sc.set)
+			require.NoError(t, err)
+			check(t, sc)
+		})
+	}
+}
+
+func TestStatedOutcomes(t *testing.T) {
+	eachScene(t, func(t *testing.T, sc scene) {
+		result, err := replay.Run(sc.set, sc.lines)
+		require.NoError(t, err)
+		var expectations []replay.Expectation
+		readJSON(t, strings.Replace(sc.path, ".spec.", ".expect.", 1), &expectations)
+		require.NotEmpty(t, expectations)
+		require.Empty(t, result.Check(expectations))
+	})
+}
+
+// TestNoBaselineIsBetter checks that no baseline serves the class that the user
+// weighs most better.
+func TestNoBaselineIsBetter(t *testing.T) {
+	eachScene(t, func(t *testing.T, sc scene) {
+		result, err := replay.Run(sc.set, sc.lines)
+		require.NoError(t, err)
+		ours := result.Class(weighedMost[sc.user])
+		require.NotNil(t, ours)
+		for _, policy := range replay.Policies()[1:] {
+			other, err := replay.Run(sc.set, sc.lines, replay.WithPolicy(policy))
+			require.NoError(t, err)
+			theirs := other.Class(ours.Class)
+			require.GreaterOrEqual(t, ours.FirstToken(), theirs.FirstToken(), "%s under %s", ours.Class, policy)
+		}
+	})
+}
+
+func TestTheSameTraceGivesTheSameOutcomes(t *testing.T) {
+	set := exampleSet(t, "grondwater")
+	var spec trace.Spec
+	readJSON(t, filepath.Join("testdata", "grondwater", "crash.spec.json"), &spec)
+	var encoded []string
+	for range 2 {
+		lines, err := trace.Generate(spec, set)
+		require.NoError(t, err)
+		result, err := replay.Run(set, lines)
+		require.NoError(t, err)
+		text, err := json.Marshal(result)
+		require.NoError(t, err)
+		encoded = append(encoded, string(text))
+	}
+	require.Equal(t, encoded[0], encoded[1])
+}
+
+func TestUnmetExpectationsAreNamed(t *testing.T) {
+	set := exampleSet(t, "glassround")
+	least, most := 1.1, -1.0
+	result, err := replay.Run(set, []trace.Line{{Request: &trace.Request{
+		Organisation: "depot-north", Class: "driver-questions", Model: "cullet-chat", DataCentre: "brisbane-1", Prompt: 10, Output: 3,
+	}}})
+	require.NoError(t, err)
+	require.Equal(t, 1, result.Class("driver-questions").Completed)
+	unmet := result.Check([]replay.Expectation{
+		{Class: "driver-questions", Metric: replay.MetricFirstToken, Least: &least},
+		{Metric: replay.MetricLost, Most: &most},
+		{Metric: "charm"},
+	})
+	require.Len(t, unmet, 3)
+	require.Equal(t, "first_token of driver-questions is 1.0000; want at least 1.1", unmet[0].String())
+}
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -6,22 +6,60 @@
 	mp "github.com/mangopaddle/mangopaddle"
 )
 
-// slack is the part of an engine's limit by which each tier may go beyond it.
-// The highest tiers may queue at the engine, whose priority lets them run
-// first; the lowest leave room for them.
-var slack = [mp.TierCount]float64{0.5, 0.25, 0, -0.05, -0.1}
+// reserve is the part of an engine's limit that each tier leaves for the tiers
+// above it.
+var reserve = [mp.TierCount]float64{0, 0, 0.03, 0.06, 0.1}
 
-// spill is how much less of a remote engine's limit may be used, so that a
+// queuePart is the part of the first token's target that a request may spend in
+// an engine's queue. It lets the requests of all hosts meet there, in the order
+// of their priorities: a host cannot see that a lower tier of another host took
+// the place that became free.
+var queuePart = [mp.TierCount]float64{0.8, 0.4, 0.1, 0, 0}
+
+// spill is the part of a remote engine's limit that is not used, so that a
 // region keeps room for its own callers.
-const spill = -0.2
+const spill = 0.2
 
-// hasRoom says whether the engine may get another request of the tier.
-func (en *engine) hasRoom(occupancy int, tier mp.Tier) bool {
-	part := 1 + slack[tier]
+// hasRoom says whether the engine may get the request.
+func (en *engine) hasRoom(wo *mp.Work, occupancy int, meanAnswer mp.Tokens) bool {
+	part := 1 - reserve[wo.Tier]
+	if en.Distance == OtherRegion {
+		part -= spill
+	}
+	if float64(occupancy) < max(1, en.limit*part) {
+		return true
+	}
 	if en.Distance == OtherRegion {
-		part = min(part, 1) + spill
+		return false
+	}
+	return float64(en.queueTime(occupancy, meanAnswer)) < queuePart[wo.Tier]*float64(wo.FirstToken)
+}
+
+// sparePriority comes behind every tier.
+const sparePriority = 2 * mp.TierCount
+
+// priority returns the request's place in the order of an engine's queue: by
+// tier, then use within the promised share first.
+func (jo *job) priority() int {
+	switch {
+	case jo.spare:
+		return sparePriority
+	case jo.promised:
+		return 2 * int(jo.work.Tier)
+	default:
+		return 2*int(jo.work.Tier) + 1
+	}
+}
+
+// queueTime returns how long a request waits in the engine's queue behind those
+// that are there.
+func (en *engine) queueTime(occupancy int, meanAnswer mp.Tokens) time.Duration {
+	over := occupancy + 1 - en.Slots
+	if over <= 0 {
+		return 0
 	}
-	return float64(occupancy) < max(1, en.limit*part)
+	slotTime := en.gap * time.Duration(meanAnswer) / time.Duration(en.Slots)
+	return slotTime * time.Duration(over)
 }
 
 // expect returns the expected time to the first token.
@@ -29,11 +67,7 @@
 	uncached := wo.Prompt - en.cached(now, wo)
 	expected := time.Duration(uncached) * initialPrefill
 	expected += en.gap + en.gap*time.Duration(occupancy)/time.Duration(en.Slots)
-	if over := occupancy + 1 - en.Slots; over > 0 {
-		slotTime := en.gap * time.Duration(meanAnswer) / time.Duration(en.Slots)
-		expected += slotTime * time.Duration(over)
-	}
-	return expected + 2*remoteDelay[en.Distance]
+	return expected + en.queueTime(occupancy, meanAnswer) + 2*remoteDelay[en.Distance]
 }
 
 // choice is an engine with what is expected of it.
@@ -43,19 +77,28 @@
 	score    time.Duration
 }
 
+// homePart is the part of the first token's target within which a request stays
+// in its region.
+const homePart = 0.3
+
 // choose returns the engine with the least expected time to the first token
 // among those with room; the zero choice if there is none. Engines of other
-// regions are considered only if none near has room.
+// regions are considered only if no near one keeps the target with a margin, for
+// their bytes are paid.
 func (sc *Scheduler) choose(now time.Time, wo *mp.Work, not mp.EngineID, relaxed bool) choice {
 	group := sc.groups[wo.Model]
 	if group == nil {
 		return choice{}
 	}
 	near := sc.best(now, group, wo, not, relaxed, false)
-	if near.engine != nil {
+	if near.engine != nil && float64(near.score) <= homePart*float64(wo.FirstToken) {
 		return near
 	}
-	return sc.best(now, group, wo, not, relaxed, true)
+	remote := sc.best(now, group, wo, not, relaxed, true)
+	if near.engine == nil || (remote.engine != nil && remote.score < near.score) {
+		return remote
+	}
+	return near
 }
 
 func (sc *Scheduler) best(now time.Time, group *group, wo *mp.Work, not mp.EngineID, relaxed, remote bool) choice {
@@ -67,7 +110,7 @@
 			continue
 		}
 		occupancy := en.occupancy(now, sc.hosts)
-		if !relaxed && !en.hasRoom(occupancy, wo.Tier) {
+		if !relaxed && !en.hasRoom(wo, occupancy, meanAnswer) {
 			continue
 		}
 		expected := en.expect(now, wo, occupancy, meanAnswer)
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -40,12 +40,19 @@
 	lagHalfLife = 10 * time.Second
 	maxLag      = 10 * time.Second
 
+	// oldestLoad is the age beyond which a report is not used.
+	oldestLoad = 1500 * time.Millisecond
 	// loadLifetime is how long a reported load counts.
-	loadLifetime = 10 * time.Second
+	loadLifetime = 3 * time.Second
 
 	// failuresToEject is how many runs in a row must fail.
 	failuresToEject = 3
 	firstEjection   = 2 * time.Second
+
+	firstAvoidance   = 500 * time.Millisecond
+	longestAvoidance = 8 * time.Second
+	maxDoublings     = 10
+
 	longestEjection = time.Minute
 
 	limitDecrease   = 0.95
@@ -73,6 +80,8 @@
 	failures int
 	ejection time.Duration
 	ejected  time.Time // until when
+	// unreached counts the runs in a row that could not reach the engine.
+	unreached int
 }
 
 func newEngine(en Engine) *engine {
@@ -114,7 +123,12 @@
 	return en.own * hosts
 }
 
+// observeLoad takes a reported load. An old one is worse than none: hosts that
+// trust it all pick the same engine.
 func (en *engine) observeLoad(now time.Time, load mp.EngineLoad) {
+	if load.Age.Std() > oldestLoad {
+		return
+	}
 	en.others = max(0, load.Running+load.Waiting-en.own)
 	en.loadAt = now
 }
@@ -137,8 +151,13 @@
 
 // observe takes the outcome of a run.
 func (en *engine) observe(now time.Time, jo *job, outcome mp.Outcome) {
+	if outcome.Unreachable {
+		en.avoid(now)
+		return
+	}
+	en.unreached = 0
 	if outcome.Failed {
-		en.observeFailure()
+		en.failures++
 		return
 	}
 	en.failures, en.ejection = 0, 0
@@ -174,8 +193,12 @@
 	}
 }
 
-func (en *engine) observeFailure() {
-	en.failures++
+// avoid keeps requests away from an engine that cannot be reached, for a time
+// that doubles. Unlike an ejection it needs no proof by several runs.
+func (en *engine) avoid(now time.Time) {
+	wait := min(firstAvoidance<<min(en.unreached, maxDoublings), longestAvoidance)
+	en.unreached++
+	en.ejected = now.Add(wait)
 }
 
 // eject keeps new requests away for a time that doubles with each ejection.
--- /dev/null
+++ b/schedule/fleet.go
@@ -0,0 +1,34 @@
+package schedule
+
+import (
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+// EnginesOf returns the fleet's engines as a host in a data centre sees them.
+func EnginesOf(fl *config.Fleet, dc mp.DataCentreID, leaving map[string]bool) []Engine {
+	home := fl.RegionOf(dc)
+	list := make([]Engine, 0, len(fl.Engines))
+	for ix := range fl.Engines {
+		en := &fl.Engines[ix]
+		list = append(list, Engine{
+			ID:       en.Name,
+			Models:   en.Models,
+			Slots:    en.Slots,
+			Distance: distance(dc, en.DataCentre, home, fl.RegionOf(en.DataCentre)),
+			Leaving:  leaving[string(en.Name)] || en.State == config.StateLeaving,
+		})
+	}
+	return list
+}
+
+func distance(from, to mp.DataCentreID, home, region mp.RegionID) Distance {
+	switch {
+	case from == to:
+		return SameDataCentre
+	case home == region:
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -63,6 +63,7 @@
 	flow     *flow
 	engine   *engine // nil while it waits
 	promised bool
+	spare    bool // above the most of its share
 	cost     mp.Tokens
 	expected time.Duration // to the first token
 }
@@ -158,38 +159,51 @@
 		return refuse(mp.KindNoBackend, 0)
 	}
 	fl := sc.flowOf(now, &wo, gr)
-	if wo.Most > 0 && !fl.most.Within(now) {
-		return refuse(mp.KindShareExceeded, fl.most.Wait(now))
-	}
 	if wo.MostConcurrency > 0 && fl.active >= wo.MostConcurrency {
 		return refuse(mp.KindShareExceeded, 0)
 	}
 	cost := fl.costOf(&wo)
 	promised := fl.promised.Within(now)
+	if wo.Most > 0 && !fl.most.Within(now) {
+		return sc.spare(now, gr, wo, fl, cost)
+	}
 	gr.demand[wo.Tier].add(now, cost)
 	if ch := sc.choose(now, &wo, "", false); ch.engine != nil && !gr.anyoneBefore(wo.Tier) {
-		sc.start(now, sc.admit(wo, fl, cost, promised), ch)
-		return mp.Decision{Verdict: mp.VerdictStart, Engine: ch.engine.ID}
+		return sc.start(now, sc.admit(wo, fl, cost, promised), ch)
 	}
 	return sc.wait(now, gr, wo, fl, cost, promised)
 }
 
+// spare starts a request above the most that its class may claim if nobody waits
+// and an engine has room that no tier is kept for. It never waits.
+func (sc *Scheduler) spare(now time.Time, gr *group, wo mp.Work, fl *flow, cost mp.Tokens) mp.Decision {
+	modest := wo
+	modest.Tier = mp.MaxTier
+	if ch := sc.choose(now, &modest, "", false); ch.engine != nil && gr.queue.Len() == 0 {
+		jo := sc.admit(wo, fl, 0, false)
+		jo.cost, jo.spare = cost, true
+		return sc.start(now, jo, ch)
+	}
+	return refuse(mp.KindShareExceeded, fl.most.Wait(now))
+}
+
 // costOf estimates the work of a request in answer tokens.
 func (fl *flow) costOf(wo *mp.Work) mp.Tokens {
 	answer := fl.lengths.Quantile(costQuantile)
 	if wo.AnswerLimit > 0 {
 		answer = min(answer, wo.AnswerLimit)
 	}
-	return cost(wo.Prompt, answer)
+	return Cost(wo.Prompt, answer)
 }
 
-func cost(prompt, answer mp.Tokens) mp.Tokens {
+// Cost returns the work of a request as shares count it, in answer tokens.
+func Cost(prompt, answer mp.Tokens) mp.Tokens {
 	return answer + prompt/promptPart
 }
 
 // wait queues a request, unless it is sure to wait longer than it may.
 func (sc *Scheduler) wait(now time.Time, gr *group, wo mp.Work, fl *flow, cost mp.Tokens, promised bool) mp.Decision {
-	if !gr.alive(now) {
+	if !gr.alive(now.Add(wo.LongestWait)) {
 		return refuse(mp.KindNoBackend, firstEjection)
 	}
 	expected := gr.expectedWait(now, wo.Tier, promised, sc.hosts)
@@ -209,9 +223,9 @@
 	return mp.Decision{Verdict: mp.VerdictWait}
 }
 
-// alive says whether any engine could ever take a request.
-func (gr *group) alive(now time.Time) bool {
-	return slices.ContainsFunc(gr.engines, func(en *engine) bool { return !en.Leaving && !en.isEjected(now) })
+// alive says whether any engine may take a request at a time.
+func (gr *group) alive(at time.Time) bool {
+	return slices.ContainsFunc(gr.engines, func(en *engine) bool { return !en.Leaving && !en.isEjected(at) })
 }
 
 func refuse(reason mp.Kind, after time.Duration) mp.Decision {
@@ -230,6 +244,9 @@
 
 // charge takes a cost from the share that the request was counted in.
 func (fl *flow) charge(jo *job, cost mp.Tokens) {
+	if jo.spare {
+		return
+	}
 	if jo.promised {
 		fl.promised.Take(cost)
 	}
@@ -254,10 +271,12 @@
 	sc.free = append(sc.free, jo)
 }
 
-func (sc *Scheduler) start(now time.Time, jo *job, ch choice) {
+// start gives a request its place on an engine.
+func (sc *Scheduler) start(now time.Time, jo *job, ch choice) mp.Decision {
 	jo.engine, jo.expected = ch.engine, ch.expected
 	ch.engine.own++
 	ch.engine.note(now, &jo.work)
+	return mp.Decision{Verdict: mp.VerdictStart, Engine: ch.engine.ID, Priority: jo.priority()}
 }
 
 // Next implements mangopaddle.Scheduler.
@@ -274,8 +293,8 @@
 			continue
 		}
 		gr.queue.Pop()
-		sc.start(now, jo, ch)
-		return mp.Start{ID: jo.work.ID, Engine: ch.engine.ID}, true
+		de := sc.start(now, jo, ch)
+		return mp.Start{ID: jo.work.ID, Engine: de.Engine, Priority: de.Priority}, true
 	}
 	return mp.Start{}, false
 }
@@ -321,8 +340,7 @@
 		sc.forget(jo)
 		return refuse(mp.KindNoBackend, 0)
 	}
-	sc.start(now, jo, ch)
-	return mp.Decision{Verdict: mp.VerdictStart, Engine: ch.engine.ID}
+	return sc.start(now, jo, ch)
 }
 
 // leave takes a request off its engine and learns from the outcome.
@@ -342,7 +360,7 @@
 		return
 	}
 	sc.leave(now, jo, outcome)
-	jo.flow.charge(jo, cost(jo.work.Prompt, outcome.Answer)-jo.cost)
+	jo.flow.charge(jo, Cost(jo.work.Prompt, outcome.Answer)-jo.cost)
 	if !outcome.Failed && outcome.Answer > 0 {
 		jo.flow.lengths.Add(outcome.Answer)
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -49,6 +49,9 @@
 	Verdict Verdict
 	// Engine is where to run, with VerdictStart.
 	Engine EngineID
+	// Priority orders the request in the engine's queue, with VerdictStart; a
+	// lower one runs first.
+	Priority int
 	// Reason says why, with VerdictRefuse.
 	Reason Kind
 	// RetryAfter is when a retry may succeed, with VerdictRefuse.
@@ -66,12 +69,15 @@
 	MeanGap time.Duration
 	// Failed says that the engine broke the run off.
 	Failed bool
+	// Unreachable says that the engine could not be reached at all.
+	Unreachable bool
 }
 
 // Start is a waiting request that may now run.
 type Start struct {
-	ID     RequestID
-	Engine EngineID
+	ID       RequestID
+	Engine   EngineID
+	Priority int
 }
 
 // Scheduler decides which request runs where and when. It is a
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -8,7 +8,7 @@
 )
 
 // burst is how much unused share is kept, as time at the full rate.
-const burst = 2 * time.Second
+const burst = 10 * time.Second
 
 // Bucket is a token bucket that may go into debt, so that one long request
 // fits and its cost is paid back before the next. It is not safe for concurrent
--- a/wire.go
+++ b/wire.go
@@ -25,6 +25,8 @@
 	Waiting int `json:"waiting"`
 	// Fencing is the highest fencing number that the engine has accepted.
 	Fencing uint64 `json:"fencing"`
+	// Age is how old the report is when it is sent.
+	Age Duration `json:"age,omitempty"`
 }
 
 // CacheEvent is one change of an engine's prefix cache. Events come late, and
