Prove the decisions with property tests; bound the wait in an engine's queue

Change: hosts read each engine's report every second; a request without its first token within the longest wait of its class and the first token's target is cancelled and answered as first_token_late, which does not say that nothing ran; property tests of queue, scheduler, shares, lengths, prefix table, retries and engine model, golden files of every fault of a bad configuration set, a fuzz target of the contract decoder, all with fixed seeds. Found: rapid showed that the prefix table took two prefixes that differ only in their low bits for one (16 tokens claimed, 0 told); it now keeps the whole 64 bits in the same 8 KB. Conclusion: order, counts and bounds of the scheduler hold under random arrivals, failures, leaving engines and time.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,126 @@
+package admission_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/admission"
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func drawItem(rt *rapid.T, number int, flows []*admission.Flow) *admission.Item {
+	return &admission.Item{
+		ID:       mp.RequestID(strconv.Itoa(number)),
+		Tier:     mp.Tier(rapid.IntRange(0, int(mp.MaxTier)).Draw(rt, "tier")),
+		Promised: rapid.Bool().Draw(rt, "promised"),
+		Cost:     mp.Tokens(rapid.IntRange(1, 5000).Draw(rt, "cost")),
+		Flow:     rapid.SampledFrom(flows).Draw(rt, "flow"),
+		Deadline: epoch.Add(time.Duration(rapid.IntRange(0, 60).Draw(rt, "deadline")) * time.Second),
+	}
+}
+
+// TestQueueOrder checks against a list that nobody is served before a request of
+// a higher tier or, inside a tier, before one within the promised share; that
+// none is lost or doubled; and that the sums and deadlines are right.
+func TestQueueOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		qu := admission.New()
+		flows := []*admission.Flow{{Weight: 10}, {Weight: 100}, {Weight: 0}}
+		waiting := map[mp.RequestID]*admission.Item{}
+		for number := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0, 1:
+				it := drawItem(rt, number, flows)
+				waiting[it.ID] = it
+				qu.Push(it)
+			case 2:
+				checkPop(rt, qu, waiting)
+			case 3:
+				for id := range waiting {
+					require.Equal(rt, waiting[id], qu.Remove(id))
+					delete(waiting, id)
+					break
+				}
+			}
+			checkSums(rt, qu, waiting)
+		}
+		for len(waiting) > 0 {
+			checkPop(rt, qu, waiting)
+		}
+		require.Nil(rt, qu.Pop())
+	})
+}
+
+func rank(it *admission.Item) int {
+	if it.Promised {
+		return 2 * int(it.Tier)
+	}
+	return 2*int(it.Tier) + 1
+}
+
+func checkPop(rt *rapid.T, qu *admission.Queue, waiting map[mp.RequestID]*admission.Item) {
+	it := qu.Pop()
+	if len(waiting) == 0 {
+		require.Nil(rt, it)
+		return
+	}
+	require.Contains(rt, waiting, it.ID)
+	for _, other := range waiting {
+		require.LessOrEqual(rt, rank(it), rank(other))
+	}
+	delete(waiting, it.ID)
+}
+
+func checkSums(rt *rapid.T, qu *admission.Queue, waiting map[mp.RequestID]*admission.Item) {
+	require.Equal(rt, len(waiting), qu.Len())
+	var all mp.Tokens
+	var first time.Time
+	for _, it := range waiting {
+		all += it.Cost
+		if first.IsZero() || it.Deadline.Before(first) {
+			first = it.Deadline
+		}
+	}
+	require.Equal(rt, all, qu.Ahead(mp.MaxTier, false))
+	if len(waiting) == 0 {
+		require.Nil(rt, qu.Last())
+		return
+	}
+	require.Nil(rt, qu.Expired(first.Add(-time.Nanosecond)))
+	require.Equal(rt, first, qu.Expired(first).Deadline)
+}
+
+// TestFairInTokens checks that two organisations of the same tier are served by
+// their weights in tokens, whatever the sizes of their requests.
+func TestFairInTokens(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		weights := []float64{rapid.Float64Range(1, 8).Draw(rt, "a"), rapid.Float64Range(1, 8).Draw(rt, "b")}
+		costs := []int{rapid.IntRange(1, 2000).Draw(rt, "cost a"), rapid.IntRange(1, 2000).Draw(rt, "cost b")}
+		qu := admission.New()
+		flows := []*admission.Flow{{Weight: weights[0]}, {Weight: weights[1]}}
+		served := []float64{0, 0}
+		const backlog, serve = 400, 300
+		for ix := range 2 * backlog {
+			qu.Push(&admission.Item{
+				ID: mp.RequestID(strconv.Itoa(ix)), Promised: true, Cost: mp.Tokens(costs[ix%2]), Flow: flows[ix%2], Deadline: epoch,
+			})
+		}
+		for range serve {
+			it := qu.Pop()
+			number, err := strconv.Atoi(string(it.ID))
+			require.NoError(rt, err)
+			served[number%2] += float64(it.Cost)
+		}
+		// The difference in normalised service is at most one request of each.
+		difference := served[0]/weights[0] - served[1]/weights[1]
+		bound := float64(costs[0])/weights[0] + float64(costs[1])/weights[1]
+		require.LessOrEqual(rt, max(difference, -difference), bound+1e-6)
+	})
+}
--- a/affinity/sketch.go
+++ b/affinity/sketch.go
@@ -24,9 +24,9 @@
 }
 
 type entry struct {
-	fingerprint uint32
-	units       uint32
-	seconds     int64
+	prefix  uint64
+	units   uint32
+	seconds uint32 // since the epoch
 }
 
 // New returns an empty sketch.
@@ -39,13 +39,13 @@
 	if prefix == 0 || tokens < tokensUnit {
 		return
 	}
-	sk.entries[prefix%slots] = entry{fingerprint: fingerprintOf(prefix), units: uint32(tokens / tokensUnit), seconds: now.Unix()}
+	sk.entries[prefix%slots] = entry{prefix: prefix, units: uint32(tokens / tokensUnit), seconds: uint32(now.Unix())}
 }
 
 // Forget records that the engine dropped a prefix.
 func (sk *Sketch) Forget(prefix uint64) {
 	en := &sk.entries[prefix%slots]
-	if en.fingerprint == fingerprintOf(prefix) {
+	if en.prefix == prefix {
 		*en = entry{}
 	}
 }
@@ -61,12 +61,8 @@
 		return 0
 	}
 	en := &sk.entries[prefix%slots]
-	if en.fingerprint != fingerprintOf(prefix) || now.Unix()-en.seconds > int64(lifetime/time.Second) {
+	if en.prefix != prefix || uint32(now.Unix())-en.seconds > uint32(lifetime/time.Second) {
 		return 0
 	}
 	return mp.Tokens(en.units) * tokensUnit
 }
-
-func fingerprintOf(prefix uint64) uint32 {
-	return uint32(prefix >> 32)
-}
--- a/blackboard/snapshot.go
+++ b/blackboard/snapshot.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"iter"
+	"maps"
 	"sync/atomic"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -121,6 +123,11 @@
 	return en, ok
 }
 
+// Engines returns every engine, in no fixed order.
+func (sn *Snapshot) Engines() iter.Seq[*config.Engine] {
+	return maps.Values(sn.engines)
+}
+
 // Service returns a plain service by its name.
 func (sn *Snapshot) Service(name mp.ServiceName) (*Service, bool) {
 	se, ok := sn.services[name]
--- a/caller/run.go
+++ b/caller/run.go
@@ -101,6 +101,10 @@
 			ru.lease.Release(ru.result(false))
 			return mp.WrapError(err, mp.KindInvalidRequest, "the engine refused the request: %s", refusalMessage(failure))
 		}
+		if failure.FirstLate {
+			ru.lease.Release(ru.result(false))
+			return mp.WrapError(err, mp.KindFirstTokenLate, "the request got no token within the longest wait of its class; it was cancelled")
+		}
 		ru.mayRun = ru.mayRun || !failure.NotRun()
 		if !ru.mayRepeat() || !ru.server.retries.again(attempts, ru.count > ru.entered) {
 			ru.lease.Release(ru.result(true))
@@ -151,11 +155,27 @@
 		Path:     ru.exchange.request.URL.Path,
 		Body:     ru.body,
 		ResumeAt: ru.count,
+		FirstBy:  ru.firstBy(),
 		Events:   ru.event,
 		Load:     ru.lease.ObserveLoad,
 	})
 }
 
+// leastFirstBy is the time to the first token that a request gets at least,
+// when its wait for a place took all of its bound.
+const leastFirstBy = time.Second
+
+// firstBy bounds the wait in the engine's queue: places in the host's queue and
+// in the engine's together may take the longest wait of the class and the target
+// of the first token. An answer that has begun has no such bound.
+func (ru *run) firstBy() time.Duration {
+	if ru.count > 0 {
+		return 0
+	}
+	left := ru.work.LongestWait + ru.work.FirstToken - ru.server.clock.Since(ru.exchange.arrival)
+	return max(left, leastFirstBy)
+}
+
 // event counts an event and hands it to the sink.
 func (ru *run) event(ev engine.Event) error {
 	if ev.Count > ru.count {
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,118 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+)
+
+func decode(t *testing.T, dir string) (*config.Set, config.Faults) {
+	t.Helper()
+	values, err := config.ReadDirectory(dir)
+	require.NoError(t, err)
+	decoder, err := config.NewDecoder()
+	require.NoError(t, err)
+	return decoder.Decode(1, values)
+}
+
+// TestEveryFaultIsReportedInOneRun compares the faults of bad sets with golden
+// files.
+func TestEveryFaultIsReportedInOneRun(t *testing.T) {
+	for _, name := range []string{"bad", "semantic"} {
+		t.Run(name, func(t *testing.T) {
+			set, faults := decode(t, filepath.Join("testdata", name))
+			require.Nil(t, set)
+			var lines []string
+			for _, fa := range faults {
+				lines = append(lines, fa.String())
+			}
+			golden := filepath.Join("testdata", name+".golden")
+			want, err := os.ReadFile(golden)
+			require.NoError(t, err)
+			require.Equal(t, string(want), strings.Join(lines, "\n")+"\n")
+		})
+	}
+}
+
+func TestExamplesAreGoodAndGetDefaults(t *testing.T) {
+	for _, user := range []string{"grondwater", "glassround"} {
+		set, faults := decode(t, filepath.Join("..", "examples", user))
+		require.NotNil(t, set, faults.Error())
+		require.Empty(t, faults)
+		require.Len(t, set.Contracts, 10)
+		require.Len(t, set.Fleet.Engines, 12)
+		require.Len(t, set.Fleet.Services, 3)
+		for _, co := range set.Contracts {
+			for _, cl := range co.Classes {
+				require.Positive(t, cl.LongestWait)
+				require.Positive(t, cl.Targets.FirstToken)
+			}
+		}
+	}
+}
+
+func TestPromisesAboveTheCapacityAreAWarning(t *testing.T) {
+	decoder, err := config.NewDecoder()
+	require.NoError(t, err)
+	values := map[mp.ConfigKey]mp.Value{
+		config.FleetKey: {Value: []byte(`{"regions":[{"name":"r","data_centres":["d"]}],"models":[{"name":"m"}],
+			"engines":[{"name":"e","address":"127.0.0.1:1","data_centre":"d","models":["m"],"tokens_per_second":100}]}`)},
+		config.ContractKey("o"): {Value: []byte(`{"organisation":"o","keys":[{"name":"k","sha256":"` + strings.Repeat("0", 64) + `"}],
+			"classes":[{"name":"c","tier":0,"models":["*"],"share":{"promised_tokens_per_second":101}}]}`)},
+	}
+	set, faults := decoder.Decode(1, values)
+	require.NotNil(t, set)
+	require.Len(t, faults, 1)
+	require.True(t, faults[0].Warning)
+	require.Contains(t, faults[0].Problem, `promise up to 101 tokens/s of model "m" but its engines are rated at 100`)
+}
+
+func TestAChangedValueIsDecodedAndOthersAreKept(t *testing.T) {
+	decoder, err := config.NewDecoder()
+	require.NoError(t, err)
+	values := map[mp.ConfigKey]mp.Value{
+		config.FleetKey: {Revision: 1, Value: []byte(`{"regions":[{"name":"r","data_centres":["d"]}],"models":[{"name":"m"}],"engines":[]}`)},
+	}
+	first, _ := decoder.Decode(1, values)
+	require.Len(t, first.Fleet.Models, 1)
+	values[config.FleetKey] = mp.Value{Revision: 2, Value: []byte(`{"regions":[{"name":"r","data_centres":["d"]}],"models":[{"name":"m"},{"name":"n"}],"engines":[]}`)}
+	second, _ := decoder.Decode(2, values)
+	require.Len(t, second.Fleet.Models, 2)
+	require.Len(t, first.Fleet.Models, 1, "a set in use does not change")
+}
+
+func TestSettingsSayEverythingThatIsWrong(t *testing.T) {
+	settings := config.DefaultSettings()
+	settings.Platform = "platform:1"
+	settings.TLSCert = "cert.pem"
+	settings.Silence = 0
+	err := settings.Check()
+	for _, text := range []string{`setting host is ""`, `setting data-centre is ""`, `setting platform is "platform:1"; want an IP number`, "both files or neither", "setting silence"} {
+		require.ErrorContains(t, err, text)
+	}
+}
+
+// FuzzDecode checks that no contract, however broken, makes the decoder panic or
+// gives a set with a fatal fault.
+func FuzzDecode(f *testing.F) {
+	for _, path := range []string{"testdata/bad/contracts/one.json", "testdata/semantic/contracts/one.json", "../examples/glassround/contracts/depot-north.json"} {
+		text, err := os.ReadFile(path)
+		require.NoError(f, err)
+		f.Add(text)
+	}
+	decoder, err := config.NewDecoder()
+	require.NoError(f, err)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		set, faults := decoder.Decode(1, map[mp.ConfigKey]mp.Value{
+			config.FleetKey:         {Value: []byte(`{"regions":[{"name":"r","data_centres":["d"]}],"models":[],"engines":[]}`)},
+			config.ContractKey("o"): {Value: text},
+		})
+		require.Equal(t, set == nil, faults.Fatal())
+	})
+}
--- a/configapply/configapply_test.go
+++ b/configapply/configapply_test.go
@@ -12,6 +12,7 @@
 	"github.com/mangopaddle/mangopaddle/blackboard"
 	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/configapply"
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
 )
 
 const (
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/enginemodel"
 	"github.com/mangopaddle/mangopaddle/fakeengine"
 	"github.com/mangopaddle/mangopaddle/quickstart"
 	"github.com/mangopaddle/mangopaddle/testkit"
@@ -165,6 +167,39 @@
 	}, "the engine still works")
 }
 
+func TestAWaitInTheEnginesQueueIsBoundedToo(t *testing.T) {
+	params := enginemodel.DefaultParams()
+	params.Slots = 1 // the fleet says 32, so that the host sends on
+	de := testkit.Start(t,
+		quickstart.WithEngineOptions(fakeengine.WithParams(params)),
+		quickstart.WithContract(func(co *config.Contract) {
+			co.Classes[0].LongestWait = mp.Duration(300 * time.Millisecond)
+			co.Classes[0].Targets.FirstToken = mp.Duration(100 * time.Millisecond)
+		}))
+	ctx, leave := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for range 2 {
+		group.Go(func() {
+			response, err := http.DefaultClient.Do(testkit.Request(ctx, t, de.Host.CallerAddress(), http.MethodPost, testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "long", true, "100000")))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	}
+	testkit.Eventually(t, func() bool {
+		return de.Engines["model-small-a"].Stats().Running+de.Engines["model-small-b"].Stats().Running == 2
+	}, "the slots are not taken")
+	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "late", true, "5"))
+	require.Equal(t, mp.KindFirstTokenLate.String(), an.Code(), an.Body)
+	require.False(t, an.NotRun(), "the engine may have begun")
+	testkit.Eventually(t, func() bool {
+		return de.Engines["model-small-a"].Stats().Waiting+de.Engines["model-small-b"].Stats().Waiting == 0
+	}, "the late request still waits")
+	leave()
+	group.Wait()
+}
+
 func TestLeavingEngineGetsNoNewRequest(t *testing.T) {
 	de := testkit.Start(t)
 	leaving := de.Engines["model-small-a"]
--- a/engine/client.go
+++ b/engine/client.go
@@ -120,6 +120,8 @@
 	// ResumeAt is how many tokens of the answer the caller has; the engine
 	// sends only the tokens behind them.
 	ResumeAt mp.Tokens
+	// FirstBy bounds the time to the first event; zero sets no bound.
+	FirstBy time.Duration
 	// Events takes each event in order. Its error ends the run.
 	Events func(Event) error
 	// Load takes the load that the engine reports; it may be nil.
@@ -143,6 +145,11 @@
 	watchdog := cl.clock.AfterFunc(cl.silence, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 
+	if rq.FirstBy > 0 {
+		bound := cl.clock.AfterFunc(rq.FirstBy, func() { cancel(errFirstLate) })
+		defer bound.Stop()
+		rq.Events = stopAtFirst(bound, rq.Events)
+	}
 	response, err := cl.send(ctx, rq)
 	if err != nil {
 		return cl.fail(ctx, rq, StageSend, err)
@@ -181,10 +188,19 @@
 	return cl.transport(rq.Address).RoundTrip(request)
 }
 
+// stopAtFirst stops the timer when the first event comes.
+func stopAtFirst(bound clockwork.Timer, events func(Event) error) func(Event) error {
+	return func(ev Event) error {
+		bound.Stop()
+		return events(ev)
+	}
+}
+
 // fail describes a broken run. After a silent one it cancels the request over
 // a new connection.
 func (cl *Client) fail(ctx context.Context, rq Request, stage Stage, err error) error {
-	fa := &Failure{Stage: stage, Silent: errors.Is(context.Cause(ctx), errSilent), cause: err}
+	cause := context.Cause(ctx)
+	fa := &Failure{Stage: stage, Silent: errors.Is(cause, errSilent), FirstLate: errors.Is(cause, errFirstLate), cause: err}
 	if fa.Silent {
 		cl.refresh(rq.Address)
 		go cl.cancelQuietly(rq.Address, rq.ID)
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -11,6 +11,10 @@
 // errSilent is the cause of a run that was ended because nothing came.
 const errSilent = errors.ConstError("the engine sent nothing for too long")
 
+// errFirstLate is the cause of a run that was ended because its first event did
+// not come within its bound.
+const errFirstLate = errors.ConstError("the engine did not begin within the bound")
+
 // Stage is how far a run came before it failed.
 type Stage int
 
@@ -32,6 +36,8 @@
 	Body   []byte
 	// Silent says that the engine sent nothing for too long.
 	Silent bool
+	// FirstLate says that the first event did not come within its bound.
+	FirstLate bool
 
 	cause error
 }
@@ -43,6 +49,8 @@
 		return fmt.Sprintf("the engine answered with status %d", fa.Status)
 	case fa.Silent:
 		return errSilent.Error()
+	case fa.FirstLate:
+		return errFirstLate.Error()
 	case fa.cause != nil:
 		return "the connection to the engine broke: " + fa.cause.Error()
 	default:
--- a/errors.go
+++ b/errors.go
@@ -27,6 +27,7 @@
 	KindShareExceeded
 	KindOverloaded
 	KindWaitExpired
+	KindFirstTokenLate
 	KindNoBackend
 	KindStopping
 	KindNotConfigured
@@ -77,6 +78,7 @@
 	KindShareExceeded:    {Code: "share_exceeded", Type: typeRateLimit, Status: http.StatusTooManyRequests, NotRun: true, Retryable: true, RetryAfter: time.Second},
 	KindOverloaded:       {Code: "overloaded", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 2 * time.Second},
 	KindWaitExpired:      {Code: "wait_expired", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 2 * time.Second},
+	KindFirstTokenLate:   {Code: "first_token_late", Type: typeServer, Status: http.StatusServiceUnavailable, Retryable: true, RetryAfter: 2 * time.Second},
 	KindNoBackend:        {Code: "no_backend", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 5 * time.Second},
 	KindStopping:         {Code: "stopping", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
 	KindNotConfigured:    {Code: "not_configured", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
--- /dev/null
+++ b/errors_test.go
@@ -0,0 +1,51 @@
+package mangopaddle_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	codes := map[string]bool{}
+	for _, kind := range mp.Kinds() {
+		an := kind.Answer()
+		require.NotEmpty(t, an.Code)
+		require.False(t, codes[an.Code], "code %q stands twice", an.Code)
+		codes[an.Code] = true
+		require.GreaterOrEqual(t, an.Status, http.StatusBadRequest)
+		require.NotEmpty(t, an.Type)
+		if an.RetryAfter > 0 {
+			require.True(t, an.Retryable, "%s: a wait without a retry", kind)
+		}
+	}
+}
+
+func TestOutcomesThatAreNotKnownAreNeverSaidToBeNotRun(t *testing.T) {
+	for _, kind := range []mp.Kind{mp.KindOutcomeUnknown, mp.KindBackendFailed, mp.KindFirstTokenLate, mp.KindInternal, mp.KindCallerGone} {
+		require.False(t, kind.Answer().NotRun, kind.String())
+	}
+	require.False(t, mp.KindOutcomeUnknown.Answer().Retryable, "a retry could run the call twice")
+}
+
+func TestErrorsKeepKindAndCause(t *testing.T) {
+	cause := errors.New("reset")
+	er := mp.WrapError(cause, mp.KindNoBackend, "no engine %q", "e1").WithRetryAfter(7 * time.Second)
+	require.Equal(t, mp.KindNoBackend, mp.KindOf(er))
+	require.ErrorIs(t, er, cause)
+	require.Equal(t, `no engine "e1"`, er.Message())
+	require.Equal(t, 7*time.Second, er.Wait())
+	require.Equal(t, mp.KindInternal, mp.KindOf(cause))
+}
+
+func TestDurationsNeedAUnit(t *testing.T) {
+	var du mp.Duration
+	require.NoError(t, du.UnmarshalJSON([]byte(`"900ms"`)))
+	require.Equal(t, 900*time.Millisecond, du.Std())
+	require.ErrorContains(t, du.UnmarshalJSON([]byte(`900`)), "with a unit")
+}
--- /dev/null
+++ b/estimate/lengths_test.go
@@ -0,0 +1,44 @@
+package estimate_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/estimate"
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
+)
+
+func TestTheParentAnswersUntilThereAreSamples(t *testing.T) {
+	parent := estimate.New(nil)
+	child := estimate.New(parent)
+	require.Equal(t, estimate.DefaultAnswer, child.Quantile(0.5))
+	other := estimate.New(parent)
+	for range 20 {
+		other.Add(64)
+	}
+	require.EqualValues(t, 64, child.Quantile(0.5))
+	for range 20 {
+		child.Add(1024)
+	}
+	require.EqualValues(t, 1024, child.Quantile(0.5))
+}
+
+// TestQuantilesAreWithinHalfAnOctave draws one length and checks the estimate,
+// and that an answer that is longer than all before is still estimated.
+func TestQuantilesAreWithinHalfAnOctave(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		le := estimate.New(nil)
+		length := mp.Tokens(rapid.IntRange(1, 40_000).Draw(rt, "length"))
+		for range rapid.IntRange(8, 600).Draw(rt, "samples") {
+			le.Add(length)
+		}
+		got := float64(le.Quantile(rapid.Float64Range(0.01, 1).Draw(rt, "q")))
+		require.GreaterOrEqual(rt, got, float64(length)-1)
+		require.LessOrEqual(rt, got, float64(length)*math.Sqrt2+1)
+		require.Greater(rt, le.Beyond(2*length, 0.5), 2*length)
+	})
+}
--- a/host/host.go
+++ b/host/host.go
@@ -21,6 +21,7 @@
 	"github.com/mangopaddle/mangopaddle/configapply"
 	"github.com/mangopaddle/mangopaddle/control"
 	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/loadwatch"
 	"github.com/mangopaddle/mangopaddle/meter"
 	"github.com/mangopaddle/mangopaddle/metrics"
 	"github.com/mangopaddle/mangopaddle/operator"
@@ -116,6 +117,8 @@
 	}
 	ho.addCleanup(platform.New(ho.settings.Platform, ho.loop, platform.WithClock(ho.clock)))
 
+	ho.addCleanup(loadwatch.New(ho.view, po, loadwatch.WithClock(ho.clock)))
+
 	engines, closeEngines := engine.New(engine.WithClock(ho.clock), engine.WithSilence(ho.settings.Silence))
 	ho.addCleanup(closeEngines)
 	services, closeServices := service.New()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -81,6 +81,14 @@
 	return po.scheduler.Engines(po.clock.Now()), po.scheduler.Waiting()
 }
 
+// ObserveLoad passes on the load that an engine reported.
+func (po *Pool) ObserveLoad(engine mp.EngineID, load mp.EngineLoad) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.scheduler.ObserveLoad(po.clock.Now(), engine, load)
+	po.pumpLocked()
+}
+
 func (po *Pool) pump() {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -201,11 +209,9 @@
 // Started returns when the engine was given to the request.
 func (le *Lease) Started() time.Time { return le.started }
 
-// ObserveLoad passes on the load that the engine reported.
+// ObserveLoad passes on the load that the engine reported with an answer.
 func (le *Lease) ObserveLoad(load mp.EngineLoad) {
-	le.pool.mu.Lock()
-	defer le.pool.mu.Unlock()
-	le.pool.scheduler.ObserveLoad(le.pool.clock.Now(), le.engine, load)
+	le.pool.ObserveLoad(le.engine, load)
 }
 
 // Reassign moves the request to another engine after a failure. After an error
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -409,10 +409,28 @@
 	}
 	rq.host.scheduler.ObserveLoad(re.clock(), mo.config.Name, mo.reported(re.lag))
 	mo.requests[rq.id] = rq
+	re.boundWait(rq, mo)
 	mo.model.Submit(rq.sequence())
 	re.iterate(mo)
 }
 
+// boundWait ends a request that got no token within its bound.
+func (re *replay) boundWait(rq *request, mo *modelled) {
+	by := rq.arrival + rq.class.LongestWait.Std() + rq.class.Targets.FirstToken.Std()
+	if rq.produced > 0 || re.policy != PolicyMangopaddle {
+		return
+	}
+	re.events.add(max(by, re.now+time.Second), func() {
+		if rq.produced > 0 || mo.requests[rq.id] != rq {
+			return
+		}
+		mo.model.Cancel(rq.id)
+		delete(mo.requests, rq.id)
+		rq.host.scheduler.Done(re.clock(), rq.id, mp.Outcome{})
+		re.refuse(rq, mp.KindFirstTokenLate)
+	})
+}
+
 func (rq *request) sequence() *enginemodel.Sequence {
 	return &enginemodel.Sequence{
 		ID:           rq.id,
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,58 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
+	"github.com/mangopaddle/mangopaddle/retry"
+)
+
+// TestRetriesAddABoundedLoad checks that whatever fails, runs without tokens are
+// repeated for at most a tenth of the requests, and a fixed start.
+func TestRetriesAddABoundedLoad(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		budget := retry.NewBudget()
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 400).Draw(rt, "requests") {
+			requests++
+			at := retry.NewAttempts(budget)
+			for rapid.Bool().Draw(rt, "fails") && at.Again(false) {
+				retries++
+			}
+		}
+		const start = 10
+		require.LessOrEqual(rt, float64(retries), start+0.1*float64(requests)+1e-9)
+	})
+}
+
+func TestARunThatBroughtTokensMayAlwaysGoOn(t *testing.T) {
+	budget := retry.NewBudget()
+	for budget.Withdraw() {
+		continue
+	}
+	at := retry.NewAttempts(budget)
+	for range 100 {
+		require.True(t, at.Again(true))
+	}
+	for range retry.MaxAttempts - 1 {
+		require.True(t, at.Again(false), "work would be wasted")
+	}
+	require.False(t, at.Again(false))
+}
+
+func TestBackoffIsBoundedAndJittered(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	seen := map[time.Duration]bool{}
+	for number := range 100 {
+		wait := retry.Backoff(number, random)
+		require.GreaterOrEqual(t, wait, time.Duration(0))
+		require.Less(t, wait, time.Second)
+		seen[wait] = true
+	}
+	require.Greater(t, len(seen), 90)
+}
--- /dev/null
+++ b/schedule/scheduler_test.go
@@ -0,0 +1,323 @@
+package schedule_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
+	"github.com/mangopaddle/mangopaddle/schedule"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const model mp.ModelID = "m"
+
+func engines(count, slots int) []schedule.Engine {
+	list := make([]schedule.Engine, count)
+	for ix := range list {
+		list[ix] = schedule.Engine{ID: mp.EngineID("e" + strconv.Itoa(ix)), Models: []mp.ModelID{model}, Slots: slots}
+	}
+	return list
+}
+
+func request(number int, tier mp.Tier) mp.Work {
+	return mp.Work{
+		ID:            mp.RequestID("r" + strconv.Itoa(number)),
+		Organisation:  "o",
+		Class:         mp.ClassName("c" + strconv.Itoa(int(tier))),
+		Model:         model,
+		Tier:          tier,
+		Prompt:        100,
+		FirstToken:    900 * time.Millisecond,
+		BetweenTokens: 54 * time.Millisecond,
+		LongestWait:   30 * time.Second,
+		Promised:      1000,
+	}
+}
+
+// machine drives a scheduler with random arrivals, ends, failures and time, and
+// checks what must always hold.
+type machine struct {
+	scheduler *schedule.Scheduler
+	now       time.Time
+	next      int
+	work      map[mp.RequestID]mp.Work
+	waiting   map[mp.RequestID]time.Time // since when
+	running   map[mp.RequestID]mp.EngineID
+	leaving   map[mp.EngineID]bool
+	list      []schedule.Engine
+}
+
+func newMachine(rt *rapid.T) *machine {
+	ma := &machine{
+		scheduler: schedule.New(schedule.WithHosts(rapid.IntRange(1, 5).Draw(rt, "hosts"))),
+		now:       epoch,
+		work:      map[mp.RequestID]mp.Work{},
+		waiting:   map[mp.RequestID]time.Time{},
+		running:   map[mp.RequestID]mp.EngineID{},
+		leaving:   map[mp.EngineID]bool{},
+		list:      engines(rapid.IntRange(1, 4).Draw(rt, "engines"), rapid.IntRange(1, 6).Draw(rt, "slots")),
+	}
+	ma.scheduler.SetEngines(ma.list)
+	return ma
+}
+
+func (ma *machine) started(rt *rapid.T, id mp.RequestID, engine mp.EngineID) {
+	require.NotContains(rt, ma.running, id, "a request was started twice")
+	require.False(rt, ma.leaving[engine], "a leaving engine got a request")
+	ma.running[id] = engine
+}
+
+// settle starts and expires what may.
+func (ma *machine) settle(rt *rapid.T) {
+	for {
+		id, ok := ma.scheduler.Expire(ma.now)
+		if !ok {
+			break
+		}
+		since, waited := ma.waiting[id]
+		require.True(rt, waited, "a request expired that did not wait")
+		require.GreaterOrEqual(rt, ma.now.Sub(since), ma.work[id].LongestWait)
+		delete(ma.waiting, id)
+	}
+	for id, since := range ma.waiting {
+		require.Less(rt, ma.now.Sub(since), ma.work[id].LongestWait, "request %s waits beyond its bound", id)
+	}
+	for {
+		st, ok := ma.scheduler.Next(ma.now)
+		if !ok {
+			break
+		}
+		require.Contains(rt, ma.waiting, st.ID)
+		for id := range ma.waiting {
+			require.LessOrEqual(rt, ma.work[st.ID].Tier, ma.work[id].Tier, "a lower tier was started before a higher one")
+		}
+		delete(ma.waiting, st.ID)
+		ma.started(rt, st.ID, st.Engine)
+	}
+}
+
+func (ma *machine) arrive(rt *rapid.T) {
+	ma.next++
+	wo := request(ma.next, mp.Tier(rapid.IntRange(0, int(mp.MaxTier)).Draw(rt, "tier")))
+	ma.work[wo.ID] = wo
+	de := ma.scheduler.Arrive(ma.now, wo)
+	switch de.Verdict {
+	case mp.VerdictStart:
+		for id := range ma.waiting {
+			require.Less(rt, wo.Tier, ma.work[id].Tier, "an arrival overtook a request of its tier or a higher one")
+		}
+		ma.started(rt, wo.ID, de.Engine)
+	case mp.VerdictWait:
+		ma.waiting[wo.ID] = ma.now
+	case mp.VerdictRefuse:
+		require.Positive(rt, de.RetryAfter)
+		require.True(rt, de.Reason.Answer().NotRun)
+	}
+}
+
+func (ma *machine) drawRunning(rt *rapid.T) (mp.RequestID, bool) {
+	if len(ma.running) == 0 {
+		return "", false
+	}
+	var ids []mp.RequestID
+	for number := 1; number <= ma.next; number++ {
+		id := mp.RequestID("r" + strconv.Itoa(number))
+		if _, ok := ma.running[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	return rapid.SampledFrom(ids).Draw(rt, "running"), true
+}
+
+func (ma *machine) finish(rt *rapid.T) {
+	id, ok := ma.drawRunning(rt)
+	if !ok {
+		return
+	}
+	delete(ma.running, id)
+	ma.scheduler.Done(ma.now, id, mp.Outcome{Answer: 50, FirstToken: 100 * time.Millisecond, MeanGap: 30 * time.Millisecond})
+}
+
+func (ma *machine) fail(rt *rapid.T) {
+	id, ok := ma.drawRunning(rt)
+	if !ok {
+		return
+	}
+	delete(ma.running, id)
+	unreachable := rapid.Bool().Draw(rt, "unreachable")
+	de := ma.scheduler.Reassign(ma.now, id, mp.Outcome{Failed: true, Unreachable: unreachable})
+	if de.Verdict == mp.VerdictStart {
+		ma.started(rt, id, de.Engine)
+	}
+}
+
+func (ma *machine) leave(rt *rapid.T) {
+	ix := rapid.IntRange(0, len(ma.list)-1).Draw(rt, "engine")
+	ma.list[ix].Leaving = !ma.list[ix].Leaving
+	ma.leaving[ma.list[ix].ID] = ma.list[ix].Leaving
+	ma.scheduler.SetEngines(ma.list)
+}
+
+func TestWhatMustAlwaysHold(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ma := newMachine(rt)
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 9).Draw(rt, "step") {
+			case 0, 1, 2, 3, 4:
+				ma.arrive(rt)
+			case 5, 6:
+				ma.finish(rt)
+			case 7:
+				ma.fail(rt)
+			case 8:
+				ma.leave(rt)
+			case 9:
+				// Nobody looks at the queue before the next event.
+				ma.now = ma.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(rt, "ms")) * time.Millisecond)
+				continue
+			}
+			ma.settle(rt)
+		}
+		ma.settle(rt)
+		ma.checkCounts(rt)
+	})
+}
+
+// checkCounts compares the scheduler's counts with the machine's, so that no
+// place is leaked or given back twice.
+func (ma *machine) checkCounts(rt *rapid.T) {
+	want := map[mp.EngineID]int{}
+	for _, engine := range ma.running {
+		want[engine]++
+	}
+	for _, es := range ma.scheduler.Engines(ma.now) {
+		require.Equal(rt, want[es.ID], es.InFlight, "engine %s", es.ID)
+	}
+	total := 0
+	for _, count := range ma.scheduler.Waiting() {
+		total += count
+	}
+	require.Equal(rt, len(ma.waiting), total)
+}
+
+func TestRefusalAtArrivalReflectsTheQueue(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(1, 1))
+	var last mp.Decision
+	for number := range 2000 {
+		wo := request(number, 3)
+		wo.LongestWait = 5 * time.Second
+		if last = sc.Arrive(epoch, wo); last.Verdict == mp.VerdictRefuse {
+			break
+		}
+	}
+	require.Equal(t, mp.VerdictRefuse, last.Verdict)
+	require.Equal(t, mp.KindOverloaded, last.Reason)
+	require.Equal(t, mp.VerdictWait, sc.Arrive(epoch, request(9999, 0)).Verdict, "a higher tier is not refused because a lower one waits")
+}
+
+func TestShareLimits(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(1, 100))
+	wo := request(1, 0)
+	wo.MostConcurrency = 1
+	require.Equal(t, mp.VerdictStart, sc.Arrive(epoch, wo).Verdict)
+	wo.ID = "r2"
+	de := sc.Arrive(epoch, wo)
+	require.Equal(t, mp.KindShareExceeded, de.Reason)
+	sc.Done(epoch, "r1", mp.Outcome{Answer: 1})
+	require.Equal(t, mp.VerdictStart, sc.Arrive(epoch, wo).Verdict)
+}
+
+func TestUseAboveTheMostRunsOnlyInSpareRoom(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(1, 20))
+	spare := func(number int) mp.Decision {
+		wo := request(number, 0)
+		wo.Promised, wo.Most = 1, 1
+		return sc.Arrive(epoch, wo)
+	}
+	require.Equal(t, 0, spare(0).Priority, "the first is within the share")
+	second := spare(1)
+	require.Equal(t, mp.VerdictStart, second.Verdict)
+	require.Equal(t, 2*mp.TierCount, second.Priority, "the second comes behind every tier")
+	var refused mp.Decision
+	for number := 2; refused.Verdict != mp.VerdictRefuse; number++ {
+		require.Less(t, number, 20, "spare use took the room kept for others")
+		refused = spare(number)
+	}
+	require.Equal(t, mp.KindShareExceeded, refused.Reason)
+	other := request(100, 1)
+	require.Equal(t, mp.VerdictStart, sc.Arrive(epoch, other).Verdict)
+}
+
+func TestAnOldLoadReportIsNotUsed(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(2, 10))
+	sc.ObserveLoad(epoch, "e0", mp.EngineLoad{Running: 10, Age: mp.Duration(5 * time.Second)})
+	sc.ObserveLoad(epoch, "e1", mp.EngineLoad{Running: 6})
+	require.Equal(t, mp.EngineID("e0"), sc.Arrive(epoch, request(1, 0)).Engine)
+	sc.ObserveLoad(epoch, "e0", mp.EngineLoad{Running: 10})
+	require.Equal(t, mp.EngineID("e1"), sc.Arrive(epoch, request(2, 0)).Engine)
+}
+
+func TestEjectionIsBounded(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(4, 10))
+	for number := range 100 {
+		de := sc.Arrive(epoch, request(number, 2))
+		require.Equal(t, mp.VerdictStart, de.Verdict)
+		sc.Done(epoch, request(number, 2).ID, mp.Outcome{Failed: true})
+	}
+	ejected := 0
+	for _, es := range sc.Engines(epoch) {
+		if es.Ejected {
+			ejected++
+		}
+	}
+	require.Equal(t, 1, ejected, "of four, never more than a third")
+}
+
+func TestAnotherRegionOnlyWhenHomeIsFull(t *testing.T) {
+	sc := schedule.New()
+	list := engines(2, 4)
+	list[1].Distance = schedule.OtherRegion
+	sc.SetEngines(list)
+	for number := range 4 {
+		require.Equal(t, mp.EngineID("e0"), sc.Arrive(epoch, request(number, 2)).Engine)
+	}
+	require.Equal(t, mp.EngineID("e1"), sc.Arrive(epoch, request(4, 2)).Engine)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []struct{ engines, models int }{{12, 2}, {282, 16}} {
+		b.Run(strconv.Itoa(size.engines)+" engines", func(b *testing.B) {
+			sc := schedule.New()
+			list := engines(size.engines, 220)
+			for ix := range list {
+				list[ix].Models = []mp.ModelID{mp.ModelID(strconv.Itoa(ix % size.models))}
+			}
+			sc.SetEngines(list)
+			work := make([]mp.Work, 1800)
+			for ix := range work {
+				work[ix] = request(ix, mp.Tier(ix%mp.TierCount))
+				work[ix].Organisation = mp.OrganisationID(strconv.Itoa(ix))
+				work[ix].Model = mp.ModelID(strconv.Itoa(ix % size.models))
+			}
+			b.ReportAllocs()
+			now := epoch
+			for ix := 0; b.Loop(); ix++ {
+				now = now.Add(time.Millisecond)
+				wo := work[ix%len(work)]
+				sc.Arrive(now, wo)
+				sc.Done(now, wo.ID, mp.Outcome{Answer: 100})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/share/bucket_test.go
@@ -0,0 +1,54 @@
+package share_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // the same cases in every run
+	"github.com/mangopaddle/mangopaddle/share"
+)
+
+// TestUseWithinTheShareIsBounded checks that what counts as within the share
+// never exceeds the rate by more than the burst and one request.
+func TestUseWithinTheShareIsBounded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(1, 1000).Draw(rt, "rate")
+		bucket := share.New(mp.TokensPerSecond(rate))
+		now := time.Unix(1_700_000_000, 0)
+		begin := now
+		var within, largest float64
+		for range rapid.IntRange(1, 200).Draw(rt, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
+			cost := rapid.IntRange(1, 3000).Draw(rt, "cost")
+			if bucket.Within(now) {
+				require.Zero(rt, bucket.Wait(now))
+				bucket.Take(mp.Tokens(cost))
+				within += float64(cost)
+				largest = max(largest, float64(cost))
+			} else {
+				require.GreaterOrEqual(rt, bucket.Wait(now), time.Duration(0))
+			}
+		}
+		const burstSeconds = 10
+		require.LessOrEqual(rt, within, rate*(now.Sub(begin).Seconds()+burstSeconds)+largest+1e-6)
+	})
+}
+
+func TestNoRateMeansNothingIsWithin(t *testing.T) {
+	bucket := share.New(0)
+	require.False(t, bucket.Within(time.Unix(1, 0)))
+}
+
+func TestCostThatIsGivenBackCounts(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	bucket := share.New(10)
+	bucket.Take(150)
+	require.False(t, bucket.Within(now))
+	require.Equal(t, 5*time.Second, bucket.Wait(now))
+	bucket.Take(-100)
+	require.True(t, bucket.Within(now))
+}
