Report service-level burn; work the capacity page out again with load reports

Cause: operators had counts and no report, and hosts now read load reports, which the page did not count. Change: mangopaddle report adds up hosts' outcomes (attainment, budget left, burn over 5 min and 1 h, goodput, wasted tokens by cause, failures by kind, quantiles from mergeable sketches within 2 %) as text, JSON and one page with a plot, and names hosts that don't answer. Hosts read the loads of their own data centre and of 32 other engines in turn.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -108,6 +108,7 @@
 	CodecTime           = "codec_time_by_byte"
 	RequestTime         = "request_time"
 	ExpositionSize      = "metrics_exposition_size"
+	LoadReportSize      = "load_report_size"
 	OutcomesSize        = "outcomes_size_by_class"
 )
 
--- a/bench/streams.go
+++ b/bench/streams.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httputil"
 	"runtime"
 	"slices"
 	"strings"
@@ -41,8 +42,13 @@
 	holding bool
 }
 
-// ServeHTTP answers every request with the same stream.
+// ServeHTTP answers every request for a completion with the same stream.
 func (en *engine) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
+	if rq.Method == http.MethodGet {
+		rw.Header().Set("Content-Type", "application/json")
+		_, _ = rw.Write([]byte(`{"running":123,"waiting":12,"fencing":1234,"age":"250ms"}`))
+		return
+	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(rw)
 	for ix := range en.chunks {
@@ -225,6 +231,11 @@
 		return errors.Trace(err)
 	}
 	re.addFigure(ExpositionSize, size, "bytes")
+	size, err = loadReportSize(ctx, be.deployment.Fleet.Engines[0].Address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	re.addFigure(LoadReportSize, size, "bytes, request and answer")
 	return measureIdle(re)
 }
 
@@ -243,6 +254,26 @@
 	return float64(size), errors.Trace(err)
 }
 
+// loadReportSize returns the length of a read of an engine's load, with its
+// headers.
+func loadReportSize(ctx context.Context, address string) (float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	asked, err := httputil.DumpRequestOut(request, true)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	answered, err := httputil.DumpResponse(response, true)
+	return float64(len(asked) + len(answered)), errors.Trace(err)
+}
+
 // measureIdle measures the control loop of a host without traffic.
 func measureIdle(re *Result) error {
 	begin, start := processorTime(), time.Now()
--- a/blackboard/snapshot.go
+++ b/blackboard/snapshot.go
@@ -4,8 +4,6 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"iter"
-	"maps"
 	"sync/atomic"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -17,11 +15,13 @@
 
 // Snapshot is an immutable view of the board for requests.
 type Snapshot struct {
-	Revision mp.Revision
-	Models   []config.Model
-	Hosts    int
-	Stopping bool
+	Revision   mp.Revision
+	DataCentre mp.DataCentreID
+	Models     []config.Model
+	Hosts      int
+	Stopping   bool
 
+	fleet     *config.Fleet
 	contracts map[keyPrefix][]grant
 	engines   map[mp.EngineID]*config.Engine
 	services  map[mp.ServiceName]*Service
@@ -48,13 +48,15 @@
 func NewSnapshot(bo *Board) *Snapshot {
 	set := bo.Config
 	sn := &Snapshot{
-		Revision:  set.Revision,
-		Models:    set.Fleet.Models,
-		Hosts:     bo.Hosts,
-		Stopping:  bo.Stopping,
-		contracts: make(map[keyPrefix][]grant, len(set.Contracts)),
-		engines:   make(map[mp.EngineID]*config.Engine, len(set.Fleet.Engines)),
-		services:  make(map[mp.ServiceName]*Service, len(set.Fleet.Services)),
+		Revision:   set.Revision,
+		DataCentre: bo.DataCentre,
+		Models:     set.Fleet.Models,
+		Hosts:      bo.Hosts,
+		Stopping:   bo.Stopping,
+		fleet:      &set.Fleet,
+		contracts:  make(map[keyPrefix][]grant, len(set.Contracts)),
+		engines:    make(map[mp.EngineID]*config.Engine, len(set.Fleet.Engines)),
+		services:   make(map[mp.ServiceName]*Service, len(set.Fleet.Services)),
 	}
 	for _, co := range set.Contracts {
 		sn.addKeys(co)
@@ -123,9 +125,9 @@
 	return en, ok
 }
 
-// Engines returns every engine, in no fixed order.
-func (sn *Snapshot) Engines() iter.Seq[*config.Engine] {
-	return maps.Values(sn.engines)
+// Engines returns every engine, in the order of the fleet.
+func (sn *Snapshot) Engines() []config.Engine {
+	return sn.fleet.Engines
 }
 
 // Service returns a plain service by its name.
--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,110 @@
+package burn_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/burn"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/meter"
+	"github.com/mangopaddle/mangopaddle/operator"
+)
+
+var class = &config.Class{
+	Name:    "quote-drafts",
+	Targets: config.Targets{FirstToken: mp.Duration(900 * time.Millisecond), BetweenTokens: mp.Duration(54 * time.Millisecond)},
+}
+
+// outcomes returns a host's outcomes after some first tokens in time and late.
+func outcomes(host mp.HostID, clock clockwork.Clock, met, missed int) operator.Outcomes {
+	me := meter.New(tally.NoopScope, meter.WithClock(clock))
+	for ix := range met + missed {
+		rq := me.Request("o", class)
+		taken := 100 * time.Millisecond
+		if ix >= met {
+			taken = 2 * time.Second
+		}
+		rq.FirstToken(taken)
+		rq.Gap(30*time.Millisecond, 1)
+		rq.Completed(10)
+	}
+	return operator.Outcomes{Host: host, Classes: me.Report(), Tiers: me.Tiers()}
+}
+
+func rowOf(t *testing.T, re *burn.Report, target string) burn.Row {
+	t.Helper()
+	for _, ro := range re.Rows {
+		if ro.Target == target {
+			return ro
+		}
+	}
+	require.Fail(t, "no row", target)
+	return burn.Row{}
+}
+
+func TestCountsOverHostsAreExact(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	re, err := burn.New([]operator.Outcomes{outcomes("a", clock, 90, 10), outcomes("b", clock, 95, 5)}, []string{"127.0.0.1:9"})
+	require.NoError(t, err)
+	ro := rowOf(t, re, "first_token")
+	require.EqualValues(t, 185, ro.Met)
+	require.EqualValues(t, 15, ro.Missed)
+	require.InDelta(t, 0.925, ro.Attainment, 1e-9)
+	require.InDelta(t, 1.5, ro.ShortBurn, 1e-9)
+	require.InDelta(t, -0.5, ro.BudgetLeft, 1e-9)
+	require.Empty(t, ro.Alert)
+	require.EqualValues(t, 2000, re.Work[0].Goodput)
+	require.InDelta(t, 1.0/3, re.Lacking, 1e-9)
+	require.Equal(t, []string{"127.0.0.1:9"}, re.Silent)
+}
+
+func TestQuantilesAreWithinTheirError(t *testing.T) {
+	re, err := burn.New([]operator.Outcomes{outcomes("a", clockwork.NewFakeClock(), 50, 0), outcomes("b", clockwork.NewFakeClock(), 0, 50)}, nil)
+	require.NoError(t, err)
+	for _, ti := range re.Times {
+		if ti.Target != "first_token" {
+			continue
+		}
+		require.EqualValues(t, 100, ti.Count)
+		require.InEpsilon(t, 0.1, ti.P50.Std().Seconds(), meter.Accuracy)
+		require.InEpsilon(t, 2.0, ti.P95.Std().Seconds(), meter.Accuracy)
+	}
+}
+
+func TestBurnIsOverWithItsWindow(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	me := meter.New(tally.NoopScope, meter.WithClock(clock))
+	me.Request("o", class).FirstToken(time.Minute)
+	at := func() burn.Row {
+		re, err := burn.New([]operator.Outcomes{{Host: "a", Classes: me.Report()}}, nil)
+		require.NoError(t, err)
+		return rowOf(t, re, "first_token")
+	}
+	require.Equal(t, "fast", at().Alert)
+	clock.Advance(meter.ShortWindow + time.Minute)
+	require.Zero(t, at().ShortBurn)
+	require.Positive(t, at().LongBurn)
+	require.Empty(t, at().Alert)
+	clock.Advance(meter.LongWindow + 5*time.Minute)
+	require.Zero(t, at().LongBurn)
+	require.EqualValues(t, 1, at().Missed)
+}
+
+func TestPagesNameSilentHosts(t *testing.T) {
+	re, err := burn.New([]operator.Outcomes{outcomes("a", clockwork.NewFakeClock(), 1, 1)}, []string{"127.0.0.1:9"})
+	require.NoError(t, err)
+	var text, html bytes.Buffer
+	require.NoError(t, re.WriteText(&text))
+	require.NoError(t, re.WriteHTML(&html))
+	for _, page := range []string{text.String(), html.String()} {
+		require.Contains(t, page, "127.0.0.1:9")
+		require.Contains(t, page, "quote-drafts")
+	}
+	require.Contains(t, html.String(), "<svg")
+}
--- /dev/null
+++ b/burn/page.go
@@ -0,0 +1,112 @@
+package burn
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// WriteText writes the report as tables.
+func (re *Report) WriteText(out io.Writer) error {
+	fmt.Fprintf(out, "hosts: %d answered", len(re.Hosts))
+	if len(re.Silent) > 0 {
+		fmt.Fprintf(out, ", no answer from %q: about %.0f %% of the traffic is missing here", re.Silent, 100*re.Lacking)
+	}
+	fmt.Fprintf(out, "\nobjective %.2f; burn over 5 min and 1 h, as a multiple of the allowed misses\n\n", Objective)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "organisation\tclass\ttier\ttarget\tmet\tmissed\tattainment\tbudget left\tburn 5 min\tburn 1 h\talert")
+	for _, ro := range re.Rows {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%d\t%d\t%.4f\t%.2f\t%.2f\t%.2f\t%s\n", ro.Organisation, ro.Class, ro.Tier, ro.Target, ro.Met, ro.Missed, ro.Attainment, ro.BudgetLeft, ro.ShortBurn, ro.LongBurn, ro.Alert)
+	}
+	fmt.Fprintln(table, "\norganisation\tclass\ttier\trequests\tcompleted\tgoodput\twasted\tfailures")
+	for _, wo := range re.Work {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%v\t%v\n", wo.Organisation, wo.Class, wo.Tier, wo.Requests, wo.Completed, wo.Goodput, wo.Wasted, wo.Failures)
+	}
+	fmt.Fprintf(table, "\ntier\ttarget\tcount\tp50\tp95\tp99\tquantiles within %.0f %%\n", 100*re.QuantileError)
+	for _, ti := range re.Times {
+		fmt.Fprintf(table, "%d\t%s\t%.0f\t%s\t%s\t%s\n", ti.Tier, ti.Target, ti.Count, ti.P50.Std().Round(roundTo), ti.P95.Std().Round(roundTo), ti.P99.Std().Round(roundTo))
+	}
+	return errors.Trace(table.Flush())
+}
+
+const (
+	roundTo = 100_000 // nanoseconds
+
+	plotWidth  = 22 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+	barWidth   = 10 // points
+)
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
+<style>body{font-family:sans-serif;margin:2em}td,th{padding:.2em .8em;text-align:right}td:nth-child(-n+2),th:nth-child(-n+2){text-align:left}.fast{background:#f9c0c0}.slow{background:#fbe5b0}</style>
+</head><body><h1>Service-level burn</h1>
+<p>{{len .Report.Hosts}} hosts answered.{{if .Report.Silent}} <strong>No answer from {{.Report.Silent}}: about {{printf "%.0f" .LackingPercent}} % of the traffic is missing here.</strong>{{end}}</p>
+{{.Plot}}
+<table><tr><th>organisation</th><th>class</th><th>tier</th><th>target</th><th>met</th><th>missed</th><th>attainment</th><th>budget left</th><th>burn 5 min</th><th>burn 1 h</th></tr>
+{{range .Report.Rows}}<tr class="{{.Alert}}"><td>{{.Organisation}}</td><td>{{.Class}}</td><td>{{.Tier}}</td><td>{{.Target}}</td><td>{{.Met}}</td><td>{{.Missed}}</td><td>{{printf "%.4f" .Attainment}}</td><td>{{printf "%.2f" .BudgetLeft}}</td><td>{{printf "%.2f" .ShortBurn}}</td><td>{{printf "%.2f" .LongBurn}}</td></tr>
+{{end}}</table>
+<table><tr><th>organisation</th><th>class</th><th>tier</th><th>requests</th><th>completed</th><th>goodput</th><th>wasted</th><th>failures</th></tr>
+{{range .Report.Work}}<tr><td>{{.Organisation}}</td><td>{{.Class}}</td><td>{{.Tier}}</td><td>{{.Requests}}</td><td>{{.Completed}}</td><td>{{.Goodput}}</td><td>{{range $cause, $tokens := .Wasted}}{{$cause}} {{$tokens}} {{end}}</td><td>{{range $kind, $count := .Failures}}{{$kind}} {{$count}} {{end}}</td></tr>
+{{end}}</table>
+<table><tr><th>tier</th><th>target</th><th>count</th><th>p50</th><th>p95</th><th>p99</th></tr>
+{{range .Report.Times}}<tr><td>{{.Tier}}</td><td>{{.Target}}</td><td>{{printf "%.0f" .Count}}</td><td>{{.P50}}</td><td>{{.P95}}</td><td>{{.P99}}</td></tr>
+{{end}}</table></body></html>
+`))
+
+type pageData struct {
+	Report         *Report
+	LackingPercent float64
+	Plot           template.HTML
+}
+
+// WriteHTML writes one self-contained page with a plot.
+func (re *Report) WriteHTML(out io.Writer) error {
+	chart, err := re.plot()
+	if err != nil {
+		return errors.Annotate(err, "plot of the attainment")
+	}
+	return errors.Trace(page.Execute(out, pageData{Report: re, LackingPercent: 100 * re.Lacking, Plot: chart}))
+}
+
+// maxBars bounds the rows that are drawn; those with the least attainment come
+// first.
+const maxBars = 24
+
+func (re *Report) plot() (template.HTML, error) {
+	rows := worst(re.Rows)
+	if len(rows) == 0 {
+		return "", nil
+	}
+	var values plotter.Values
+	var names []string
+	for _, ro := range rows {
+		values = append(values, ro.Attainment)
+		names = append(names, string(ro.Class)+" "+ro.Target)
+	}
+	pl := plot.New()
+	pl.Title.Text = "Least attainment"
+	pl.Y.Min, pl.Y.Max = 0, 1
+	chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	pl.Add(chart)
+	pl.NominalX(names...)
+	writer, err := pl.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	var svg bytes.Buffer
+	if _, err := writer.WriteTo(&svg); err != nil {
+		return "", errors.Trace(err)
+	}
+	return template.HTML(svg.String()), nil
+}
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -7,6 +7,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/bench"
+	"github.com/mangopaddle/mangopaddle/loadwatch"
 )
 
 // Size is the size of a deployment.
@@ -112,6 +113,8 @@
 	// Built says whether the mechanism exists or its messages were only
 	// encoded and counted.
 	Built bool
+	// Replaced says that planned roles take the place of this one.
+	Replaced bool
 	// Mechanism names what carries the role.
 	Mechanism string
 	// State says what the memory holds.
@@ -203,6 +206,7 @@
 		mo.engineChoice(),
 		mo.configuration(),
 		mo.machineList(),
+		mo.loadReports(),
 		mo.membership(),
 		mo.watcher(),
 		mo.relay(),
@@ -258,6 +262,22 @@
 		Built:     true,
 		Mechanism: "each host watches the configuration and reads the whole list every second; to be replaced by the three roles that follow",
 		State:     "list of machines",
+		Replaced:  true,
+		Mean:      cost,
+		Busiest:   cost,
+	}
+}
+
+// loadReports is how hosts learn of the load of engines today.
+func (mo *Model) loadReports() Role {
+	away := min(loadwatch.AwayReads, mo.size.Engines-mo.enginesOfDC())
+	cost := mo.message((mo.enginesOfDC()+away)/loadInterval, mo.figure(bench.LoadReportSize))
+	return Role{
+		Name:      "load reports read by every host",
+		Built:     true,
+		Mechanism: "each host reads each engine of its data centre, and 32 others in turn, every second; to be replaced by the engine watcher's digest",
+		State:     "none of its own",
+		Replaced:  true,
 		Mean:      cost,
 		Busiest:   cost,
 	}
@@ -382,7 +402,7 @@
 // today and the planned roles replace.
 func (mo *Model) Planned() (mean, busiest Cost) {
 	for _, ro := range mo.Roles() {
-		if ro.Name == mo.machineList().Name {
+		if ro.Replaced {
 			continue
 		}
 		mean, busiest = mean.plus(ro.Mean), busiest.plus(ro.Busiest)
--- /dev/null
+++ b/cmd/mangopaddle/report.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/burn"
+	"github.com/mangopaddle/mangopaddle/operator"
+)
+
+// report adds up the outcomes of hosts.
+type report struct {
+	stdout, stderr io.Writer
+	hosts          string
+	timeout        time.Duration
+	asJSON         bool
+	html           string
+}
+
+func newReport(stdout, stderr io.Writer) *report {
+	return &report{stdout: stdout, stderr: stderr}
+}
+
+func (re *report) command() *ffcli.Command {
+	set := flags("report", re.stderr)
+	set.StringVar(&re.hosts, "hosts", "127.0.0.1:8081", "operators' addresses of the hosts, with commas between them; a name that ends in .json is a saved /debug/outcomes")
+	set.DurationVar(&re.timeout, "timeout", 3*time.Second, "longest wait for a host")
+	set.BoolVar(&re.asJSON, "json", false, "print the report as JSON")
+	set.StringVar(&re.html, "html", "", "file for a self-contained page")
+	return &ffcli.Command{
+		Name:       "report",
+		ShortUsage: "mangopaddle report --hosts ADDRESS,ADDRESS… [--json] [--html FILE]",
+		ShortHelp:  "Report attainment, error budget, burn rate, goodput, waste and refusals over all hosts.",
+		FlagSet:    set,
+		Exec:       re.run,
+	}
+}
+
+func (re *report) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	var outcomes []operator.Outcomes
+	var silent []string
+	for name := range strings.SplitSeq(re.hosts, ",") {
+		out, err := re.read(ctx, name)
+		if err != nil {
+			silent = append(silent, name)
+			continue
+		}
+		outcomes = append(outcomes, out)
+	}
+	made, err := burn.New(outcomes, silent)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return re.print(made)
+}
+
+func (re *report) read(ctx context.Context, name string) (operator.Outcomes, error) {
+	var out operator.Outcomes
+	if strings.HasSuffix(name, ".json") {
+		return out, readJSON(name, &out)
+	}
+	ctx, cancel := context.WithTimeout(ctx, re.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/debug/outcomes", nil)
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return out, errors.Errorf("host %q answered with status %d", name, response.StatusCode)
+	}
+	return out, errors.Trace(json.NewDecoder(response.Body).Decode(&out))
+}
+
+func (re *report) print(made *burn.Report) error {
+	if re.html != "" {
+		file, err := os.Create(re.html)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer file.Close()
+		if err := made.WriteHTML(file); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if re.asJSON {
+		encoder := json.NewEncoder(re.stdout)
+		encoder.SetIndent("", "  ")
+		return errors.Trace(encoder.Encode(made))
+	}
+	return made.WriteText(re.stdout)
+}
--- a/cmd/mangopaddle/root.go
+++ b/cmd/mangopaddle/root.go
@@ -64,6 +64,7 @@
 			newCapacity(stdout, stderr).command(),
 			newReplay(stdout, stderr).command(),
 			newTrace(stdout, stderr).command(),
+			newReport(stdout, stderr).command(),
 			newVersion(stdout, stderr).command(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
--- a/config/settings.go
+++ b/config/settings.go
@@ -34,6 +34,8 @@
 	DrainTimeout time.Duration
 	// Silence is how long an engine's stream may send nothing.
 	Silence time.Duration
+	// WriteTimeout is the time in which a caller must take one chunk.
+	WriteTimeout time.Duration
 	// BodyLimit bounds a request's body.
 	BodyLimit mp.Bytes
 }
@@ -46,6 +48,7 @@
 		LameDuck:       2 * time.Second,
 		DrainTimeout:   15 * time.Minute,
 		Silence:        3 * time.Second,
+		WriteTimeout:   15 * time.Second,
 		BodyLimit:      4 * mp.Mebibyte,
 	}
 }
@@ -80,6 +83,7 @@
 	}
 	checkPositive("drain-timeout", se.DrainTimeout)
 	checkPositive("silence", se.Silence)
+	checkPositive("write-timeout", se.WriteTimeout)
 	if se.LameDuck < 0 {
 		add("lame-duck", se.LameDuck, "a time span, such as 2s or 0s")
 	}
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -200,6 +201,24 @@
 	group.Wait()
 }
 
+func TestASlowCallerIsCutOffAndHoldsNoEngine(t *testing.T) {
+	params := enginemodel.Params{Slots: 4, StepBase: 20 * time.Microsecond, PrefillChunk: 512}
+	de := testkit.Start(t,
+		quickstart.WithSettings(func(st *config.Settings) { st.WriteTimeout = 200 * time.Millisecond }),
+		quickstart.WithEngineOptions(fakeengine.WithParams(params)))
+	connection, err := net.Dial("tcp", de.Host.CallerAddress())
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.(*net.TCPConn).SetReadBuffer(4096))
+	body := testkit.ChatBody(quickstart.ModelSmall, "x", true, "100000000")
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testkit.Chat, quickstart.Key, len(body), body)
+	require.NoError(t, err)
+	testkit.Eventually(t, func() bool { return started(de) == 1 }, "the request did not start")
+	testkit.Eventually(t, func() bool {
+		return de.Engines["model-small-a"].Stats().Cancelled+de.Engines["model-small-b"].Stats().Cancelled == 1
+	}, "the engine still works for a caller that takes nothing")
+}
+
 func TestLeavingEngineGetsNoNewRequest(t *testing.T) {
 	de := testkit.Start(t)
 	leaving := de.Engines["model-small-a"]
--- a/loadwatch/loadwatch.go
+++ b/loadwatch/loadwatch.go
@@ -24,6 +24,10 @@
 	workers         = 8
 )
 
+// AwayReads bounds the engines of other data centres that are read in a round;
+// the next round goes on behind them.
+const AwayReads = 32
+
 // Observer takes reported loads.
 type Observer interface {
 	ObserveLoad(engine mp.EngineID, load mp.EngineLoad)
@@ -36,6 +40,7 @@
 	observer Observer
 	interval time.Duration
 	client   *http.Client
+	away     int // where the next round begins among the engines of other data centres
 }
 
 // Option changes a watcher under construction.
@@ -113,13 +118,32 @@
 			}
 		})
 	}
-	for en := range sn.Engines() {
-		targets <- target{id: en.Name, address: en.Address}
+	for _, ta := range wa.choose(sn) {
+		targets <- ta
 	}
 	close(targets)
 	group.Wait()
 }
 
+// choose returns the engines of this round: all of the data centre, and some of
+// the others in turn.
+func (wa *Watcher) choose(sn *blackboard.Snapshot) []target {
+	var home, away []target
+	for _, en := range sn.Engines() {
+		ta := target{id: en.Name, address: en.Address}
+		if en.DataCentre == sn.DataCentre {
+			home = append(home, ta)
+		} else {
+			away = append(away, ta)
+		}
+	}
+	for range min(AwayReads, len(away)) {
+		home = append(home, away[wa.away%len(away)])
+		wa.away++
+	}
+	return home
+}
+
 // read passes one report on. An engine that gives none is left to the requests
 // to find out.
 func (wa *Watcher) read(ctx context.Context, ta target) {
--- a/meter/class.go
+++ b/meter/class.go
@@ -153,6 +153,35 @@
 	return cr
 }
 
+// TierReport is the distribution of times of a tier, as an encoded Sketch for
+// each target.
+type TierReport struct {
+	Tier     mp.Tier           `json:"tier"`
+	Sketches map[string][]byte `json:"sketches"`
+}
+
+// Tiers returns the distributions of every tier that had a request.
+func (me *Meter) Tiers() []TierReport {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	var reports []TierReport
+	for ti := range me.tiers {
+		tr := TierReport{Tier: mp.Tier(ti), Sketches: map[string][]byte{}}
+		for ta, sk := range me.tiers[ti].sketches {
+			if sk.Count() == 0 {
+				continue
+			}
+			if encoded, err := sk.MarshalBinary(); err == nil {
+				tr.Sketches[Target(ta).String()] = encoded
+			}
+		}
+		if len(tr.Sketches) > 0 {
+			reports = append(reports, tr)
+		}
+	}
+	return reports
+}
+
 // Report returns the outcomes of every class that had a request, in the order
 // of organisations and classes.
 func (me *Meter) Report() []ClassReport {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -69,6 +69,7 @@
 	gap        tally.Histogram
 	tokens     tally.Counter
 	wasted     [wasteCount]tally.Counter
+	sketches   [targetCount]*Sketch // under the meter's lock
 }
 
 var (
@@ -110,6 +111,9 @@
 		gap:        tagged.Histogram("between_tokens_seconds", gapBuckets),
 		tokens:     tagged.Counter("answer_tokens"),
 	}
+	for ta := range tm.sketches {
+		tm.sketches[ta] = NewSketch()
+	}
 	for wa := range tm.wasted {
 		tm.wasted[wa] = tagged.Tagged(map[string]string{"cause": Waste(wa).String()}).Counter("wasted_tokens")
 	}
@@ -159,6 +163,7 @@
 func (rq *Request) count(ta Target, taken, bound time.Duration) {
 	rq.meter.mu.Lock()
 	defer rq.meter.mu.Unlock()
+	rq.meter.tiers[rq.tier].sketches[ta].add(taken, 1)
 	if taken <= bound {
 		rq.class.add(rq.meter.clock.Now(), ta, 1, 0)
 	} else {
@@ -179,7 +184,11 @@
 	} else {
 		rq.late += uint64(tokens)
 	}
-	rq.meter.tiers[rq.tier].gap.RecordDuration(taken / time.Duration(tokens))
+	each := taken / time.Duration(tokens)
+	rq.meter.tiers[rq.tier].gap.RecordDuration(each)
+	rq.meter.mu.Lock()
+	defer rq.meter.mu.Unlock()
+	rq.meter.tiers[rq.tier].sketches[BetweenTokens].add(each, tokens)
 }
 
 // Completed counts an answer that the caller has whole.
--- a/operator/server.go
+++ b/operator/server.go
@@ -124,10 +124,11 @@
 	Host    mp.HostID           `json:"host"`
 	Now     time.Time           `json:"now"`
 	Classes []meter.ClassReport `json:"classes"`
+	Tiers   []meter.TierReport  `json:"tiers"`
 }
 
 func (se *Server) serveOutcomes(rw http.ResponseWriter, _ *http.Request) {
-	out := Outcomes{Classes: se.meter.Report()}
+	out := Outcomes{Classes: se.meter.Report(), Tiers: se.meter.Tiers()}
 	err := se.loop.Inspect(func(bo *blackboard.Board) { out.Host, out.Now = bo.Host, bo.Now })
 	if err != nil {
 		http.Error(rw, err.Error(), http.StatusServiceUnavailable)
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,259 @@
+// Package process_test runs a deployment as separate processes and kills,
+// freezes and stops them.
+package process_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+// binary is the program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "mangopaddle")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "mangopaddle")
+	build := exec.Command("go", "build", "-o", binary, "../cmd/mangopaddle")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Println(string(output))
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a started program.
+type process struct {
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+func run(t *testing.T, args ...string) *process {
+	t.Helper()
+	pr := &process{command: exec.Command(binary, args...), exited: make(chan struct{})}
+	require.NoError(t, pr.command.Start())
+	go func() {
+		_ = pr.command.Wait()
+		close(pr.exited)
+	}()
+	t.Cleanup(func() {
+		pr.signal(syscall.SIGKILL)
+		<-pr.exited
+	})
+	return pr
+}
+
+func (pr *process) signal(sig syscall.Signal) {
+	_ = pr.command.Process.Signal(sig)
+}
+
+// deployment is a fleet of processes: two engines, a service, the platform and
+// two entry hosts.
+type deployment struct {
+	dir       string
+	fleet     config.Fleet
+	engines   []*process
+	platform  *process
+	hosts     []*process
+	callers   []string
+	operators []string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+const hostCount = 2
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	de := &deployment{dir: t.TempDir()}
+	de.fleet = config.Fleet{
+		Regions: []config.Region{{Name: "r", DataCentres: []mp.DataCentreID{"d"}}},
+		Models:  []config.Model{{Name: quickstart.ModelSmall}},
+	}
+	for ix := range 2 {
+		address := freeAddress(t)
+		de.engines = append(de.engines, run(t, "standin", "engine", "--listen", address, "--models", string(quickstart.ModelSmall)))
+		de.fleet.Engines = append(de.fleet.Engines, config.Engine{
+			Name: mp.EngineID("e" + strconv.Itoa(ix)), Address: address, DataCentre: "d", Models: []mp.ModelID{quickstart.ModelSmall},
+		})
+	}
+	address := freeAddress(t)
+	run(t, "standin", "service", "--listen", address)
+	de.fleet.Services = []config.Service{{Name: quickstart.Orders, Replicas: []config.Replica{{Name: "s", Address: address, DataCentre: "d"}}}}
+	de.publish(t)
+	platform := freeAddress(t)
+	de.platform = run(t, "standin", "platform", "--listen", platform, "--dir", de.dir, "--poll", "20ms")
+	for ix := range hostCount {
+		caller, operator := freeAddress(t), freeAddress(t)
+		de.hosts = append(de.hosts, run(t, "serve", "--host", "h"+strconv.Itoa(ix), "--data-centre", "d", "--platform", platform,
+			"--listen", caller, "--operator-listen", operator, "--lame-duck", "50ms", "--silence", "1500ms", "--log-level", "error"))
+		de.callers, de.operators = append(de.callers, caller), append(de.operators, operator)
+	}
+	for ix := range de.hosts {
+		de.awaitReady(t, ix)
+	}
+	return de
+}
+
+// publish writes the fleet and the contract for the platform to read.
+func (de *deployment) publish(t *testing.T) {
+	t.Helper()
+	contract := config.Contract{
+		Organisation: "o",
+		Keys:         []config.Key{{Name: "k", SHA256: quickstart.KeyHash()}},
+		Classes:      []config.Class{{Name: "c", Models: []mp.ModelID{config.AnyModel}, Services: []mp.ServiceName{quickstart.Orders}}},
+	}
+	require.NoError(t, os.MkdirAll(filepath.Join(de.dir, "contracts"), 0o755))
+	writeJSON(t, filepath.Join(de.dir, "fleet.json"), de.fleet)
+	writeJSON(t, filepath.Join(de.dir, "contracts", "o.json"), contract)
+}
+
+func writeJSON(t *testing.T, path string, value any) {
+	t.Helper()
+	text, err := json.Marshal(value)
+	require.NoError(t, err)
+	// A reader never sees half of a file.
+	require.NoError(t, os.WriteFile(path+".new", text, 0o600))
+	require.NoError(t, os.Rename(path+".new", path))
+}
+
+func (de *deployment) awaitReady(t *testing.T, ix int) {
+	t.Helper()
+	testkit.Eventually(t, func() bool {
+		response, err := http.Get("http://" + de.operators[ix] + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, "the host is not ready")
+}
+
+// load sends streams to the hosts in turn and returns the answers.
+func (de *deployment) load(t *testing.T, requests int, during func()) []testkit.Answer {
+	t.Helper()
+	answers := make([]testkit.Answer, requests)
+	begun := make(chan struct{}, requests)
+	var group sync.WaitGroup
+	for ix := range answers {
+		group.Go(func() { answers[ix] = de.stream(t, ix, begun) })
+	}
+	for range requests {
+		<-begun
+	}
+	during()
+	group.Wait()
+	return answers
+}
+
+// stream reads a stream and tells when its first event came.
+func (de *deployment) stream(t *testing.T, ix int, begun chan<- struct{}) testkit.Answer {
+	request := testkit.Request(t.Context(), t, de.callers[ix%hostCount], http.MethodPost, testkit.Chat,
+		testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), true, "60"))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		begun <- struct{}{}
+		return testkit.Answer{Err: err}
+	}
+	defer response.Body.Close()
+	var text strings.Builder
+	reader := bufio.NewReader(response.Body)
+	for first := true; ; first = false {
+		line, err := reader.ReadString('\n')
+		text.WriteString(line)
+		if first {
+			begun <- struct{}{}
+		}
+		if err != nil {
+			return testkit.Answer{Status: response.StatusCode, Body: text.String()}
+		}
+	}
+}
+
+func requireWhole(t *testing.T, answers []testkit.Answer) {
+	t.Helper()
+	for _, an := range answers {
+		require.NoError(t, an.Err)
+		require.Equal(t, http.StatusOK, an.Status)
+		require.Len(t, strings.Fields(testkit.StreamContent(t, an.Body)), 60)
+	}
+}
+
+func TestAKilledEngineLosesNoAnswer(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	requireWhole(t, de.load(t, 12, func() { de.engines[0].signal(syscall.SIGKILL) }))
+}
+
+func TestAFrozenEngineLosesNoAnswer(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	requireWhole(t, de.load(t, 12, func() { de.engines[1].signal(syscall.SIGSTOP) }))
+}
+
+func TestAStoppedHostCutsOffNoAnswer(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	requireWhole(t, de.load(t, 12, func() { de.hosts[0].signal(syscall.SIGTERM) }))
+	<-de.hosts[0].exited
+	require.Equal(t, 0, de.hosts[0].command.ProcessState.ExitCode())
+}
+
+func TestHostsServeWithoutThePlatform(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	de.platform.signal(syscall.SIGKILL)
+	<-de.platform.exited
+	requireWhole(t, de.load(t, 4, func() {}))
+}
+
+// TestAFrozenHostWakesWithTheNewestConfiguration freezes a host while an engine
+// leaves, and checks that the host sends nothing there once it knows.
+func TestAFrozenHostWakesWithTheNewestConfiguration(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	de.hosts[1].signal(syscall.SIGSTOP)
+	de.fleet.Engines[0].State = config.StateLeaving
+	de.publish(t)
+	inForce := func(ix int) bool {
+		an := testkit.Send(t, testkit.Request(t.Context(), t, de.operators[ix], http.MethodGet, "/debug/state", ""))
+		return strings.Contains(an.Body, `"e0": true`)
+	}
+	testkit.Eventually(t, func() bool { return inForce(0) }, "the running host has the old configuration")
+	de.hosts[1].signal(syscall.SIGCONT)
+	testkit.Eventually(t, func() bool { return inForce(1) }, "the host that woke has the old configuration")
+	de.engines[0].signal(syscall.SIGKILL)
+	requireWhole(t, de.load(t, 4, func() {}))
+}
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -24,6 +24,12 @@
 // Key is the bearer key of the deployment's only organisation.
 const Key = "quickstart-key"
 
+// KeyHash returns the hash of the key, as contracts keep it.
+func KeyHash() string {
+	hash := sha256.Sum256([]byte(Key))
+	return hex.EncodeToString(hash[:])
+}
+
 // The names in the deployment.
 const (
 	Organisation mp.OrganisationID = "quickstart"
@@ -166,10 +172,9 @@
 }
 
 func defaultContract() *config.Contract {
-	hash := sha256.Sum256([]byte(Key))
 	return &config.Contract{
 		Organisation: Organisation,
-		Keys:         []config.Key{{Name: "first", SHA256: hex.EncodeToString(hash[:])}},
+		Keys:         []config.Key{{Name: "first", SHA256: KeyHash()}},
 		DefaultClass: Interactive,
 		Classes: []config.Class{
 			{Name: Interactive, Tier: 0, Models: []mp.ModelID{config.AnyModel}, Services: []mp.ServiceName{Orders}, Share: config.Share{PromisedTokensPerSecond: 500}},
