--- a/burn/page.go
+++ b/burn/page.go
@@ -5,12 +5,17 @@
 	"fmt"
 	"html/template"
 	"io"
+	"maps"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+
+	mp "github.com/mangopaddle/mangopaddle"
 )
 
 // WriteText writes the report as tables.
@@ -27,7 +32,7 @@
 	}
 	fmt.Fprintln(table, "\norganisation\tclass\ttier\trequests\tcompleted\tgoodput\twasted\tfailures")
 	for _, wo := range re.Work {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%v\t%v\n", wo.Organisation, wo.Class, wo.Tier, wo.Requests, wo.Completed, wo.Goodput, wo.Wasted, wo.Failures)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%v\t%v\n", wo.Organisation, wo.Class, wo.Tier, wo.Requests, wo.Completed, wo.Goodput, counts(wo.Wasted), counts(wo.Failures))
 	}
 	fmt.Fprintf(table, "\ntier\ttarget\tcount\tp50\tp95\tp99\tquantiles within %.0f %%\n", 100*re.QuantileError)
 	for _, ti := range re.Times {
@@ -36,6 +41,18 @@
 	return errors.Trace(table.Flush())
 }
 
+// counts lists counts by name; a dash if there is none.
+func counts[V mp.Tokens | uint64](of map[string]V) string {
+	if len(of) == 0 {
+		return "-"
+	}
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(of)) {
+		list = append(list, fmt.Sprintf("%s %d", name, of[name]))
+	}
+	return strings.Join(list, ", ")
+}
+
 const (
 	roundTo = 100_000 // nanoseconds
 
--- a/fakeengine/completion.go
+++ b/fakeengine/completion.go
@@ -134,7 +134,7 @@
 	}
 	rw.Header().Set(mp.HeaderRunning, strconv.Itoa(en.model.Running()))
 	rw.Header().Set(mp.HeaderWaiting, strconv.Itoa(en.model.Waiting()))
-	st := &stream{sequence: cm.sequence, changed: make(chan struct{}, 1)}
+	st := &stream{sequence: cm.sequence, changed: make(chan struct{}, 1), produced: cm.resumeAt}
 	en.streams[cm.id] = st
 	en.started++
 	if kept, ok := en.kv[cm.id]; ok && kept.Tokens >= cm.sequence.Prompt {
@@ -174,7 +174,7 @@
 	defer en.mu.Unlock()
 	_, present := en.streams[st.sequence.ID]
 	return position{
-		produced:  st.sequence.Produced,
+		produced:  st.produced,
 		finished:  st.finished,
 		cancelled: !present,
 		fault:     en.fault,
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -64,6 +64,7 @@
 type stream struct {
 	sequence *enginemodel.Sequence
 	changed  chan struct{} // holds one wake-up
+	produced mp.Tokens     // that were delivered
 	finished bool
 }
 
@@ -145,10 +146,11 @@
 	}
 }
 
-// run steps the modelled engine until it is stopped.
+// run steps the modelled engine until it is stopped. The tokens of an iteration
+// are delivered at its end.
 func (en *Engine) run(stop <-chan struct{}) {
 	for {
-		took := en.step()
+		took, progress := en.step()
 		if took == 0 {
 			select {
 			case <-stop:
@@ -162,24 +164,32 @@
 			return
 		case <-en.clock.After(took):
 		}
+		en.deliver(progress)
 	}
 }
 
-// step runs one iteration and wakes the streams that gained a token.
-func (en *Engine) step() time.Duration {
+// step begins an iteration. Its progress is valid until the next one.
+func (en *Engine) step() (time.Duration, []enginemodel.Progress) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	took, progress := en.model.Step()
+	return time.Duration(float64(took) * en.slowdown), progress
+}
+
+// deliver wakes the streams that gained a token.
+func (en *Engine) deliver(progress []enginemodel.Progress) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
 	for _, pr := range progress {
 		en.generated++
 		st, ok := en.streams[pr.Sequence.ID]
 		if !ok {
 			continue
 		}
+		st.produced = pr.Sequence.Produced
 		st.finished = pr.Finished
 		notify(st.changed)
 	}
-	return time.Duration(float64(took) * en.slowdown)
 }
 
 func notify(ch chan struct{}) {
