--- a/burn/page.go
+++ b/burn/page.go
@@ -1,7 +1,6 @@
 package burn
 
 import (
-	"bytes"
 	"fmt"
 	"html/template"
 	"io"
@@ -9,13 +8,12 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/juju/errors"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/chart"
 )
 
 // WriteText writes the report as tables.
@@ -53,13 +51,8 @@
 	return strings.Join(list, ", ")
 }
 
-const (
-	roundTo = 100_000 // nanoseconds
-
-	plotWidth  = 22 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
-	barWidth   = 10 // points
-)
+// roundTo is the unit of printed times.
+const roundTo = 100 * time.Microsecond
 
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
@@ -86,11 +79,11 @@
 
 // WriteHTML writes one self-contained page with a plot.
 func (re *Report) WriteHTML(out io.Writer) error {
-	chart, err := re.plot()
+	drawn, err := re.plot()
 	if err != nil {
-		return errors.Annotate(err, "plot of the attainment")
+		return errors.Trace(err)
 	}
-	return errors.Trace(page.Execute(out, pageData{Report: re, LackingPercent: 100 * re.Lacking, Plot: chart}))
+	return errors.Trace(page.Execute(out, pageData{Report: re, LackingPercent: 100 * re.Lacking, Plot: drawn}))
 }
 
 // maxBars bounds the rows that are drawn; those with the least attainment come
@@ -98,32 +91,9 @@
 const maxBars = 24
 
 func (re *Report) plot() (template.HTML, error) {
-	rows := worst(re.Rows)
-	if len(rows) == 0 {
-		return "", nil
-	}
-	var values plotter.Values
-	var names []string
-	for _, ro := range rows {
-		values = append(values, ro.Attainment)
-		names = append(names, string(ro.Class)+" "+ro.Target)
-	}
-	pl := plot.New()
-	pl.Title.Text = "Least attainment"
-	pl.Y.Min, pl.Y.Max = 0, 1
-	chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	pl.Add(chart)
-	pl.NominalX(names...)
-	writer, err := pl.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	var svg bytes.Buffer
-	if _, err := writer.WriteTo(&svg); err != nil {
-		return "", errors.Trace(err)
+	var bars []chart.Bar
+	for _, ro := range worst(re.Rows) {
+		bars = append(bars, chart.Bar{Name: string(ro.Class) + " " + ro.Target, Value: ro.Attainment})
 	}
-	return template.HTML(svg.String()), nil
+	return chart.Bars("Least attainment", bars)
 }
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -219,6 +219,53 @@
 	}, "the engine still works for a caller that takes nothing")
 }
 
+// TestASilentRunIsCancelledOverANewConnection uses an engine that does not notice
+// that a connection was closed.
+func TestASilentRunIsCancelledOverANewConnection(t *testing.T) {
+	de := testkit.Start(t, quickSilence()...)
+	silent := de.Engines["model-small-a"]
+	silent.SetFault(fakeengine.FaultSilent, 3)
+	ctx, leave := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for ix := range 2 {
+		group.Go(func() {
+			response, err := http.DefaultClient.Do(testkit.Request(ctx, t, de.Host.CallerAddress(), http.MethodPost, testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "q"+strconv.Itoa(ix), true, "100000")))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	}
+	testkit.Eventually(t, func() bool { return silent.Stats().Started > 0 }, "no request met the fault")
+	testkit.Eventually(t, func() bool { return silent.Stats().Running == 0 }, "the silent engine still works for nobody")
+	leave()
+	group.Wait()
+}
+
+// TestASlowCallerDoesNotMakeTheEngineLookSilent lets a caller stall for longer than
+// an engine may be silent.
+func TestASlowCallerDoesNotMakeTheEngineLookSilent(t *testing.T) {
+	params := enginemodel.Params{Slots: 4, StepBase: 20 * time.Microsecond, PrefillChunk: 512}
+	de := testkit.Start(t,
+		quickstart.WithSettings(func(st *config.Settings) { st.Silence = 300 * time.Millisecond }),
+		quickstart.WithEngineOptions(fakeengine.WithParams(params)))
+	connection, err := net.Dial("tcp", de.Host.CallerAddress())
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.(*net.TCPConn).SetReadBuffer(32<<10))
+	body := testkit.ChatBody(quickstart.ModelSmall, "x", true, "20000")
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testkit.Chat, quickstart.Key, len(body), body)
+	require.NoError(t, err)
+	time.Sleep(1500 * time.Millisecond) // the stall itself; no verdict depends on its end
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Len(t, strings.Fields(testkit.StreamContent(t, string(text))), 20000)
+	require.Equal(t, 1, started(de), "the answer was moved to another engine")
+}
+
 func TestLeavingEngineGetsNoNewRequest(t *testing.T) {
 	de := testkit.Start(t)
 	leaving := de.Engines["model-small-a"]
--- a/e2e/service_test.go
+++ b/e2e/service_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -68,6 +69,29 @@
 	}
 }
 
+// TestAnOrderGoesOnWhenItsCallerLeaves uses a service that drops a call whose
+// other end left.
+func TestAnOrderGoesOnWhenItsCallerLeaves(t *testing.T) {
+	de := testkit.Start(t)
+	slow := fakeservice.New(fakeservice.WithDelay(300 * time.Millisecond))
+	address, err := de.Serve(slow.Handler())
+	require.NoError(t, err)
+	republish(t, de, func(fl *config.Fleet) { fl.Services[0].Replicas[0].Address = address })
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan error, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(testkit.Request(ctx, t, de.Host.CallerAddress(), http.MethodPost, order, "{}"))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		left <- err
+	}()
+	testkit.Eventually(t, func() bool { return slow.Tries() == 1 }, "the call did not arrive")
+	leave()
+	require.Error(t, <-left)
+	testkit.Eventually(t, func() bool { return len(slow.Calls()) == 1 }, "the call was dropped")
+}
+
 func TestAServicesOwnErrorReachesTheCaller(t *testing.T) {
 	de := testkit.Start(t)
 	de.Orders.SetFault(fakeservice.FaultUnavailable)
--- a/engine/client.go
+++ b/engine/client.go
@@ -256,7 +256,8 @@
 	return &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text}
 }
 
-// watchedReader puts the watchdog back with every byte that arrives.
+// watchedReader lets the watchdog run only while it waits for the engine, so that
+// a slow caller does not make the engine look silent.
 type watchedReader struct {
 	reader   io.Reader
 	watchdog clockwork.Timer
@@ -266,10 +267,9 @@
 
 // Read implements io.Reader.
 func (wr *watchedReader) Read(part []byte) (int, error) {
+	wr.watchdog.Reset(wr.silence)
 	count, err := wr.reader.Read(part)
-	if count > 0 {
-		wr.watchdog.Reset(wr.silence)
-	}
+	wr.watchdog.Stop()
 	if err != nil {
 		wr.err = err
 	}
--- a/fakeengine/stream.go
+++ b/fakeengine/stream.go
@@ -42,10 +42,8 @@
 		if po.cancelled {
 			panic(http.ErrAbortHandler)
 		}
-		if po.fault != FaultNone && po.produced >= po.faultAt {
-			if en.misbehave(rq, po.fault) {
-				return
-			}
+		if po.fault != FaultNone && po.produced >= po.faultAt && en.misbehave(po.fault, st) {
+			return
 		}
 		if part := chunks(cm, sent, po.produced); len(part) > 0 {
 			if flush(rw, control, part) != nil {
@@ -64,20 +62,33 @@
 }
 
 // misbehave acts out a fault. It reports whether the stream is over.
-func (en *Engine) misbehave(rq *http.Request, fault Fault) bool {
+func (en *Engine) misbehave(fault Fault, st *stream) bool {
 	switch fault {
 	case FaultCrash:
 		panic(http.ErrAbortHandler)
 	case FaultTruncate:
 		return true
 	case FaultSilent:
-		<-rq.Context().Done()
+		en.awaitCancel(st)
 		return true
 	default:
 		return false
 	}
 }
 
+// awaitCancel blocks until a stream is cancelled by a call or has all its tokens.
+// It does not notice that the connection was closed, as an engine does not whose
+// network lost track of it.
+func (en *Engine) awaitCancel(st *stream) {
+	for {
+		po := en.positionOf(st)
+		if po.cancelled || po.finished {
+			return
+		}
+		<-st.changed
+	}
+}
+
 // await blocks until the stream changes. It sends a comment while nothing
 // happens, so that the other end can tell waiting from silence.
 func (en *Engine) await(rw http.ResponseWriter, rq *http.Request, control *http.ResponseController, st *stream) bool {
--- a/fakeservice/service.go
+++ b/fakeservice/service.go
@@ -116,8 +116,8 @@
 	case FaultCrashBefore:
 		panic(http.ErrAbortHandler)
 	}
-	if se.delay > 0 {
-		se.clock.Sleep(se.delay)
+	if !se.work(rq) {
+		return
 	}
 	number := se.record(Call{Method: rq.Method, Path: rq.URL.Path, Key: rq.Header.Get(mp.HeaderIdempotencyKey), Body: string(body)})
 	switch fault {
@@ -132,6 +132,19 @@
 	_ = json.NewEncoder(rw).Encode(receipt{Number: number, Path: rq.URL.Path})
 }
 
+// work takes the time of a call. It reports false if the other end left.
+func (se *Service) work(rq *http.Request) bool {
+	if se.delay == 0 {
+		return true
+	}
+	select {
+	case <-se.clock.After(se.delay):
+		return true
+	case <-rq.Context().Done():
+		return false
+	}
+}
+
 func (se *Service) begin() Fault {
 	se.mu.Lock()
 	defer se.mu.Unlock()
--- a/replay/page.go
+++ b/replay/page.go
@@ -1,20 +1,12 @@
 package replay
 
 import (
-	"bytes"
 	"html/template"
 	"io"
 
 	"github.com/juju/errors"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-)
 
-const (
-	plotWidth  = 18 * vg.Centimeter
-	plotHeight = 9 * vg.Centimeter
-	barWidth   = 14 // points
+	"github.com/mangopaddle/mangopaddle/chart"
 )
 
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
@@ -47,7 +39,7 @@
 	} {
 		svg, err := rs.bars(of.title, of.value)
 		if err != nil {
-			return errors.Annotatef(err, "plot %q", of.title)
+			return errors.Trace(err)
 		}
 		data.Plots = append(data.Plots, svg)
 	}
@@ -55,28 +47,9 @@
 }
 
 func (rs *Result) bars(title string, value func(cr *ClassResult) float64) (template.HTML, error) {
-	var values plotter.Values
-	var names []string
+	var bars []chart.Bar
 	for _, cr := range rs.Classes {
-		values = append(values, value(cr))
-		names = append(names, string(cr.Class))
-	}
-	pl := plot.New()
-	pl.Title.Text = title
-	pl.Y.Min, pl.Y.Max = 0, 1
-	chart, err := plotter.NewBarChart(values, vg.Points(barWidth))
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	pl.Add(chart)
-	pl.NominalX(names...)
-	writer, err := pl.WriterTo(plotWidth, plotHeight, "svg")
-	if err != nil {
-		return "", errors.Trace(err)
-	}
-	var svg bytes.Buffer
-	if _, err := writer.WriteTo(&svg); err != nil {
-		return "", errors.Trace(err)
+		bars = append(bars, chart.Bar{Name: string(cr.Class), Value: value(cr)})
 	}
-	return template.HTML(svg.String()), nil
+	return chart.Bars(title, bars)
 }
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -257,6 +257,22 @@
 	require.Equal(t, mp.VerdictStart, sc.Arrive(epoch, other).Verdict)
 }
 
+func TestTheEnginesPriorityFollowsTierThenPromise(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(1, 100))
+	last := -1
+	for tier := range mp.MaxTier + 1 {
+		for _, promised := range []mp.TokensPerSecond{1000, 0} {
+			wo := request(last+100, tier)
+			wo.Class, wo.Promised = mp.ClassName(wo.ID), promised
+			de := sc.Arrive(epoch, wo)
+			require.Equal(t, mp.VerdictStart, de.Verdict)
+			require.Greater(t, de.Priority, last)
+			last = de.Priority
+		}
+	}
+}
+
 func TestAnOldLoadReportIsNotUsed(t *testing.T) {
 	sc := schedule.New()
 	sc.SetEngines(engines(2, 10))
