--- a/bench/bench.go
+++ b/bench/bench.go
@@ -98,6 +98,7 @@
 	ListSizeByServer    = "list_size_by_server"
 	ChangeSize          = "change_size"
 	ValueSize           = "contract_value_size"
+	EngineValueSize     = "engine_value_size"
 	ProbeSize           = "probe_size_by_update"
 	UseSize             = "use_size_by_class"
 	FractionSize        = "fraction_size_by_class"
--- a/cmd/mangopaddle/schema.go
+++ b/cmd/mangopaddle/schema.go
@@ -23,7 +23,7 @@
 func (sc *schema) command() *ffcli.Command {
 	return &ffcli.Command{
 		Name:       "jsonschema",
-		ShortUsage: "mangopaddle jsonschema fleet|contract",
+		ShortUsage: "mangopaddle jsonschema fleet|contract|engines",
 		ShortHelp:  "Print the JSON schema of a configuration file.",
 		FlagSet:    flags("jsonschema", sc.stderr),
 		Exec:       sc.run,
@@ -32,7 +32,7 @@
 
 func (sc *schema) run(_ context.Context, args []string) error {
 	if len(args) != 1 {
-		return errors.NotValidf("number of arguments %d (want one: %q or %q)", len(args), config.SchemaFleet, config.SchemaContract)
+		return errors.NotValidf("number of arguments %d (want one: %q, %q or %q)", len(args), config.SchemaFleet, config.SchemaContract, config.SchemaEngines)
 	}
 	text, err := config.Schema(config.SchemaName(args[0]))
 	if err != nil {
--- a/config/check.go
+++ b/config/check.go
@@ -56,10 +56,12 @@
 		unique(ch, ch.models, mo.Name, at("models", ix, "name"))
 	}
 	engines := map[mp.EngineID]bool{}
-	for ix := range fl.Engines {
-		unique(ch, engines, fl.Engines[ix].Name, at("engines", ix, "name"))
-		ch.checkEngine(ix, &fl.Engines[ix])
+	for ix, or := range ch.set.origins {
+		ch.key = or.key
+		unique(ch, engines, fl.Engines[ix].Name, at("engines", or.index, "name"))
+		ch.checkEngine(or.index, &fl.Engines[ix])
 	}
+	ch.key = FleetKey
 	for ix := range fl.Services {
 		unique(ch, ch.services, fl.Services[ix].Name, at("services", ix, "name"))
 		ch.checkReplicas(ix, &fl.Services[ix])
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -87,6 +87,28 @@
 	require.Len(t, first.Fleet.Models, 1, "a set in use does not change")
 }
 
+// TestEnginesMayBeListedByDataCentre checks that a fleet larger than one value of
+// the platform can be published, and that faults name the list's own path.
+func TestEnginesMayBeListedByDataCentre(t *testing.T) {
+	decoder, err := config.NewDecoder()
+	require.NoError(t, err)
+	values := map[mp.ConfigKey]mp.Value{
+		config.FleetKey: {Value: []byte(`{"regions":[{"name":"r","data_centres":["a","b"]}],"models":[{"name":"m"}],"engines":[]}`)},
+		"engines/a":     {Value: []byte(`{"engines":[{"name":"a-1","address":"127.0.0.1:1","data_centre":"a","models":["m"]}]}`)},
+		"engines/b":     {Value: []byte(`{"engines":[{"name":"b-1","address":"127.0.0.1:2","data_centre":"b","models":["m"]},{"name":"b-2","address":"127.0.0.1:3","data_centre":"b","models":["m"]}]}`)},
+	}
+	for revision := range mp.Revision(2) { // the second set is made of kept values
+		set, faults := decoder.Decode(revision+1, values)
+		require.NotNil(t, set, faults.Error())
+		require.Len(t, set.Fleet.Engines, 3)
+		require.Equal(t, 32, set.Fleet.Engines[2].Slots)
+	}
+	values["engines/b"] = mp.Value{Value: []byte(`{"engines":[{"name":"b-1","address":"127.0.0.1:2","data_centre":"b","models":["m"]},{"name":"a-1","address":"127.0.0.1:3","data_centre":"c","models":["m"]}]}`)}
+	set, faults := decoder.Decode(3, values)
+	require.Nil(t, set)
+	require.Equal(t, "engines/b: /engines/1/data_centre: data centre \"c\" does not exist in the fleet\nengines/b: /engines/1/name: \"a-1\" stands twice; names are unique", faults.Error())
+}
+
 func TestSettingsSayEverythingThatIsWrong(t *testing.T) {
 	settings := config.DefaultSettings()
 	settings.Platform = "platform:1"
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -23,15 +23,19 @@
 	for ix := range fl.Models {
 		orDefault(&fl.Models[ix].ContextTokens, defaultContextTokens)
 	}
-	for ix := range fl.Engines {
-		en := &fl.Engines[ix]
+	setEngineDefaults(fl.Engines)
+	for ix := range fl.Services {
+		fl.Services[ix].setDefaults()
+	}
+}
+
+func setEngineDefaults(engines []Engine) {
+	for ix := range engines {
+		en := &engines[ix]
 		orDefault(&en.Slots, defaultSlots)
 		orDefault(&en.TokensPerSecond, defaultTokensPerSecondOfSlot*mp.TokensPerSecond(en.Slots))
 		orDefault(&en.State, StateLive)
 	}
-	for ix := range fl.Services {
-		fl.Services[ix].setDefaults()
-	}
 }
 
 func (se *Service) setDefaults() {
--- a/config/directory.go
+++ b/config/directory.go
@@ -13,11 +13,12 @@
 const (
 	fleetFile    = "fleet.json"
 	contractsDir = "contracts"
+	enginesDir   = "engines"
 	fileSuffix   = ".json"
 )
 
-// ReadDirectory returns the values under a directory: fleet.json and
-// contracts/NAME.json.
+// ReadDirectory returns the values under a directory: fleet.json,
+// contracts/NAME.json and engines/NAME.json.
 func ReadDirectory(dir string) (map[mp.ConfigKey]mp.Value, error) {
 	values := map[mp.ConfigKey]mp.Value{}
 	fleet, err := os.ReadFile(filepath.Join(dir, fleetFile))
@@ -27,23 +28,33 @@
 	if err == nil {
 		values[FleetKey] = mp.Value{Key: FleetKey, Value: fleet}
 	}
-	paths, err := filepath.Glob(filepath.Join(dir, contractsDir, "*"+fileSuffix))
+	for _, part := range []string{contractsDir, enginesDir} {
+		if err := readPart(values, dir, part); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if len(values) == 0 {
+		return nil, errors.NotFoundf("%s or %s/*%s in directory %q", fleetFile, contractsDir, fileSuffix, dir)
+	}
+	return values, nil
+}
+
+// readPart reads every file of a directory's part.
+func readPart(values map[mp.ConfigKey]mp.Value, dir, part string) error {
+	paths, err := filepath.Glob(filepath.Join(dir, part, "*"+fileSuffix))
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	for _, path := range paths {
 		value, err := os.ReadFile(path)
 		if err != nil {
-			return nil, errors.Trace(err)
+			return errors.Trace(err)
 		}
 		name := strings.TrimSuffix(filepath.Base(path), fileSuffix)
-		key := ContractKey(mp.OrganisationID(name))
+		key := mp.ConfigKey(part + "/" + name)
 		values[key] = mp.Value{Key: key, Value: value}
 	}
-	if len(values) == 0 {
-		return nil, errors.NotFoundf("%s or %s/*%s in directory %q", fleetFile, contractsDir, fileSuffix, dir)
-	}
-	return values, nil
+	return nil
 }
 
 // FileOf returns the path of a key's file below a directory.
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -18,12 +18,18 @@
 	Regions []Region `json:"regions" jsonschema:"minItems=1"`
 	// Models lists what callers can ask for.
 	Models []Model `json:"models"`
-	// Engines lists the model engines.
+	// Engines lists the model engines; more can stand in engine lists.
 	Engines []Engine `json:"engines"`
 	// Services lists the plain services beside the engines.
 	Services []Service `json:"services,omitempty"`
 }
 
+// EngineList is more engines of the fleet. A fleet whose engines don't fit one
+// value lists them by data centre.
+type EngineList struct {
+	Engines []Engine `json:"engines"`
+}
+
 // Region is a group of data centres with fast links between them.
 type Region struct {
 	Name        mp.RegionID       `json:"name" jsonschema:"minLength=1"`
--- a/config/schema.go
+++ b/config/schema.go
@@ -22,6 +22,7 @@
 const (
 	SchemaFleet    SchemaName = "fleet"
 	SchemaContract SchemaName = "contract"
+	SchemaEngines  SchemaName = "engines"
 )
 
 const durationPattern = `^([0-9]+(\.[0-9]+)?(ns|us|ms|s|m|h))+$`
@@ -34,8 +35,10 @@
 		value = &Fleet{}
 	case SchemaContract:
 		value = &Contract{}
+	case SchemaEngines:
+		value = &EngineList{}
 	default:
-		return nil, errors.NotFoundf("schema %q (want %q or %q)", name, SchemaFleet, SchemaContract)
+		return nil, errors.NotFoundf("schema %q (want %q, %q or %q)", name, SchemaFleet, SchemaContract, SchemaEngines)
 	}
 	reflector := jsonschema.Reflector{Mapper: mapType, DoNotReference: true, Anonymous: true}
 	return json.MarshalIndent(reflector.Reflect(value), "", "  ")
@@ -53,6 +56,7 @@
 type schemas struct {
 	fleet    *validator.Schema
 	contract *validator.Schema
+	engines  *validator.Schema
 	printer  *message.Printer
 }
 
@@ -65,7 +69,11 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &schemas{fleet: fleet, contract: contract, printer: message.NewPrinter(language.English)}, nil
+	engines, err := compile(SchemaEngines)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &schemas{fleet: fleet, contract: contract, engines: engines, printer: message.NewPrinter(language.English)}, nil
 }
 
 func compile(name SchemaName) (*validator.Schema, error) {
--- a/config/set.go
+++ b/config/set.go
@@ -14,6 +14,9 @@
 // FleetKey is the key of the fleet's value in a published set.
 const FleetKey mp.ConfigKey = "fleet"
 
+// enginesPrefix begins the key of every engine list's value.
+const enginesPrefix = "engines/"
+
 // contractPrefix begins the key of every contract's value.
 const contractPrefix = "contracts/"
 
@@ -28,6 +31,14 @@
 	Revision  mp.Revision `json:"revision"`
 	Fleet     Fleet       `json:"fleet"`
 	Contracts []*Contract `json:"contracts"`
+
+	origins []origin // of the fleet's engines
+}
+
+// origin is where an engine is written.
+type origin struct {
+	key   mp.ConfigKey
+	index int
 }
 
 // Decoder turns published values into a checked set. It remembers decoded
@@ -43,6 +54,7 @@
 	revision mp.Revision
 	fleet    *Fleet
 	contract *Contract
+	engines  []Engine
 	faults   Faults
 }
 
@@ -67,7 +79,7 @@
 	for _, key := range sortedKeys(values) {
 		dv := de.value(key, values[key])
 		faults = append(faults, dv.faults...)
-		set.add(dv)
+		set.add(key, dv)
 	}
 	de.forgetBut(values)
 	if faults.Fatal() {
@@ -80,9 +92,19 @@
 	return set, faults.sorted()
 }
 
-func (se *Set) add(dv decoded) {
+// add puts a decoded value into the set. The decoded value itself is kept for
+// other sets and is not changed.
+func (se *Set) add(key mp.ConfigKey, dv decoded) {
+	engines := dv.engines
 	if dv.fleet != nil {
+		listed := se.Fleet.Engines
 		se.Fleet = *dv.fleet
+		se.Fleet.Engines = listed
+		engines = dv.fleet.Engines
+	}
+	for ix := range engines {
+		se.Fleet.Engines = append(se.Fleet.Engines, engines[ix])
+		se.origins = append(se.origins, origin{key: key, index: ix})
 	}
 	if dv.contract != nil {
 		se.Contracts = append(se.Contracts, dv.contract)
@@ -114,8 +136,10 @@
 		return de.decodeFleet(key, value)
 	case strings.HasPrefix(string(key), contractPrefix):
 		return de.decodeContract(key, value)
+	case strings.HasPrefix(string(key), enginesPrefix):
+		return de.decodeEngines(key, value)
 	default:
-		return decoded{faults: Faults{{Key: key, Problem: "is no known key (want \"fleet\" or \"contracts/NAME\")"}}}
+		return decoded{faults: Faults{{Key: key, Problem: "is no known key (want \"fleet\", \"engines/NAME\" or \"contracts/NAME\")"}}}
 	}
 }
 
@@ -131,6 +155,18 @@
 	return decoded{fleet: fl}
 }
 
+func (de *Decoder) decodeEngines(key mp.ConfigKey, value []byte) decoded {
+	if faults := de.schemas.faults(de.schemas.engines, key, value); faults != nil {
+		return decoded{faults: faults}
+	}
+	list := &EngineList{}
+	if faults := unmarshal(key, value, list); faults != nil {
+		return decoded{faults: faults}
+	}
+	setEngineDefaults(list.Engines)
+	return decoded{engines: list.Engines}
+}
+
 func (de *Decoder) decodeContract(key mp.ConfigKey, value []byte) decoded {
 	if faults := de.schemas.faults(de.schemas.contract, key, value); faults != nil {
 		return decoded{faults: faults}
--- a/e2e/service_test.go
+++ b/e2e/service_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -101,19 +100,14 @@
 	require.Equal(t, 1, de.Orders.Tries())
 }
 
-// closedAddress returns an address that nothing listens on.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	return listener.Addr().String()
-}
+// closedAddress is an address that nothing listens on: its port is outside of the
+// range for outgoing connections, and no test serves there.
+const closedAddress = "127.78.0.1:7000"
 
 func TestAnUnreachableReplicaMeansNotRun(t *testing.T) {
 	de := testkit.Start(t)
 	live := de.Fleet.Services[0].Replicas[0]
-	dead := config.Replica{Name: "orders-0", Address: closedAddress(t), DataCentre: quickstart.DataCentre}
+	dead := config.Replica{Name: "orders-0", Address: closedAddress, DataCentre: quickstart.DataCentre}
 
 	republish(t, de, func(fl *config.Fleet) { fl.Services[0].Replicas = []config.Replica{dead} })
 	an := confirm(t, de)
--- a/process/command_test.go
+++ b/process/command_test.go
@@ -84,7 +84,7 @@
 func TestHealthcheckOfADeadHostFails(t *testing.T) {
 	text, code := output(t, nil, "healthcheck", "--address", freeAddress(t))
 	require.Equal(t, 1, code)
-	require.Contains(t, text, "host at 127.0.0.1")
+	require.Contains(t, text, "host at 127.77.")
 }
 
 func TestVersionIsPrinted(t *testing.T) {
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -80,17 +80,22 @@
 	fleet     config.Fleet
 	engines   []*process
 	platform  *process
+	address   string // of the platform
 	hosts     []*process
 	callers   []string
 	operators []string
 }
 
+// addresses counts the loopback addresses that were given out.
+var addresses atomic.Int32
+
+// freeAddress returns an address that nothing else uses: an IP number of its own,
+// with a port outside of the range for outgoing connections. A free port of a
+// shared number could be taken before the process that it is meant for starts.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	number := addresses.Add(1)
+	return fmt.Sprintf("127.77.%d.%d:7000", number/250, number%250+1)
 }
 
 const hostCount = 2
@@ -115,11 +120,11 @@
 	de.publish(t)
 	platform := freeAddress(t)
 	de.platform = run(t, "standin", "platform", "--listen", platform, "--dir", de.dir, "--poll", "20ms")
+	de.address = platform
 	for ix := range hostCount {
-		caller, operator := freeAddress(t), freeAddress(t)
-		de.hosts = append(de.hosts, run(t, "serve", "--host", "h"+strconv.Itoa(ix), "--data-centre", "d", "--platform", platform,
-			"--listen", caller, "--operator-listen", operator, "--lame-duck", "50ms", "--silence", "1500ms", "--log-level", "error"))
-		de.callers, de.operators = append(de.callers, caller), append(de.operators, operator)
+		de.hosts = append(de.hosts, nil)
+		de.callers, de.operators = append(de.callers, freeAddress(t)), append(de.operators, freeAddress(t))
+		de.serve(t, ix)
 	}
 	for ix := range de.hosts {
 		de.awaitReady(t, ix)
@@ -127,6 +132,13 @@
 	return de
 }
 
+// serve starts a host, also in the place of one that stopped.
+func (de *deployment) serve(t *testing.T, ix int) {
+	t.Helper()
+	de.hosts[ix] = run(t, "serve", "--host", "h"+strconv.Itoa(ix), "--data-centre", "d", "--platform", de.address,
+		"--listen", de.callers[ix], "--operator-listen", de.operators[ix], "--lame-duck", "1s", "--silence", "1500ms", "--log-level", "error")
+}
+
 // publish writes the fleet and the contract for the platform to read.
 func (de *deployment) publish(t *testing.T) {
 	t.Helper()
@@ -231,6 +243,47 @@
 	require.Equal(t, 0, de.hosts[0].command.ProcessState.ExitCode())
 }
 
+// TestARollingReplacementCutsOffNoAnswer replaces every host, one after the
+// other, under load. Requests go to the host that is ready, as a balancer would
+// send them.
+func TestARollingReplacementCutsOffNoAnswer(t *testing.T) {
+	t.Parallel()
+	de := deploy(t)
+	stop := make(chan struct{})
+	answers := make(chan testkit.Answer, 1024)
+	var group sync.WaitGroup
+	var ready atomic.Int64
+	for worker := range 4 {
+		group.Go(func() {
+			for number := worker; ; number += 4 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				answers <- testkit.Post(t, de.callers[ready.Load()], testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, strconv.Itoa(number), true, "60"))
+			}
+		})
+	}
+	for ix := range de.hosts {
+		ready.Store(int64(1 - ix)) // the balancer takes the host out
+		de.hosts[ix].signal(syscall.SIGTERM)
+		<-de.hosts[ix].exited
+		require.Equal(t, 0, de.hosts[ix].command.ProcessState.ExitCode())
+		de.serve(t, ix)
+		de.awaitReady(t, ix)
+	}
+	close(stop)
+	group.Wait()
+	close(answers)
+	var all []testkit.Answer
+	for an := range answers {
+		all = append(all, an)
+	}
+	require.GreaterOrEqual(t, len(all), 4)
+	requireWhole(t, all)
+}
+
 func TestHostsServeWithoutThePlatform(t *testing.T) {
 	t.Parallel()
 	de := deploy(t)
