--- a/bench/streams.go
+++ b/bench/streams.go
@@ -40,6 +40,7 @@
 	hold    chan struct{} // closed to let held streams end
 	open    atomic.Int64
 	holding bool
+	left    chan time.Time // takes when a held stream's other end left
 }
 
 // ServeHTTP answers every request for a completion with the same stream.
@@ -66,6 +67,9 @@
 		select {
 		case <-en.hold:
 		case <-rq.Context().Done():
+			if en.left != nil {
+				en.left <- time.Now()
+			}
 		}
 	}
 	_, _ = rw.Write([]byte("data: " + mp.StreamEnd + "\n\n"))
@@ -199,9 +203,57 @@
 	if err := measureRequests(ctx, re); err != nil {
 		return errors.Trace(err)
 	}
+	if err := measureCancel(ctx, re); err != nil {
+		return errors.Trace(err)
+	}
 	return measureOpenStreams(ctx, re)
 }
 
+const cancels = 50
+
+// measureCancel measures the time from a caller's leaving until its engine knows.
+func measureCancel(ctx context.Context, re *Result) error {
+	en := &engine{chunks: 1, holding: true, hold: make(chan struct{}), left: make(chan time.Time, 1)}
+	be, err := newBed(en)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer be.stop()
+	defer close(en.hold)
+	var times []time.Duration
+	for range cancels {
+		taken, err := cancelOne(ctx, en, be.deployment.Host.CallerAddress())
+		if err != nil {
+			return errors.Trace(err)
+		}
+		times = append(times, taken)
+	}
+	slices.Sort(times)
+	re.addFigure("cancel_time", float64(times[cancels/2].Nanoseconds()), "ns at the median")
+	re.addFigure("cancel_time_most", float64(times[cancels-1].Nanoseconds()), "ns at the most")
+	return nil
+}
+
+func cancelOne(ctx context.Context, en *engine, address string) (time.Duration, error) {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	client := newBenchClient()
+	go func() { _, _, _ = stream(ctx, client, address) }()
+	for en.open.Load() == 0 {
+		if ctx.Err() != nil {
+			return 0, errors.Trace(ctx.Err())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	begin := time.Now()
+	leave()
+	at := <-en.left
+	for en.open.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return at.Sub(begin), nil
+}
+
 // measureChunks compares long streams through the router with the same streams
 // from the engine directly.
 func measureChunks(ctx context.Context, re *Result) error {
@@ -223,6 +275,7 @@
 	}
 	perChunk := func(of cost) float64 { return float64(of.processor.Nanoseconds()) / float64(of.chunks) }
 	re.addFigure(ChunkTime, perChunk(routed)-perChunk(direct), "ns")
+	re.addFigure("chunks_per_core", 1e9/(perChunk(routed)-perChunk(direct)), "chunks a second")
 	re.addFigure("chunk_time_direct", perChunk(direct), "ns")
 	re.addFigure("chunk_time_ratio", perChunk(routed)/perChunk(direct), "routed to direct")
 	re.addFigure(ChunkAllocations, float64(routed.allocations)/float64(routed.chunks)-float64(direct.allocations)/float64(direct.chunks), "allocations")
@@ -303,6 +356,7 @@
 	re.addFigure(FirstTokenRatio, median(routed)/median(direct), "routed to direct")
 	perRequest := func(of cost) float64 { return float64(of.processor.Nanoseconds()) / float64(len(of.first)) }
 	re.addFigure(RequestTime, perRequest(routed)-perRequest(direct), "ns")
+	re.addFigure("requests_per_core", 1e9/(perRequest(routed)-perRequest(direct)), "requests a second")
 	return nil
 }
 
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -96,16 +96,21 @@
 	si := mo.size
 	perDC := mo.hostsOfDC()
 	fmt.Fprintf(out, "### Failures\n\n")
-	writeRow(out, "event", "how often", "requests in flight that callers lose", "control messages", "recovery")
-	writeRow(out, "---", "---", "---:", "---:", "---")
-	writeRow(out, "a host crashes", number(si.Lost)+"/day", number(mo.InFlight()), number(perDC*2), "callers repeat at another host; no state to rebuild; the hosts' count is right when the platform's list is")
-	writeRow(out, "a host is replaced", number(si.Replaced)+"/day", "0", number(perDC*2), "lame duck, then every answer is finished")
-	writeRow(out, "a rack or switch (10 hosts)", "weekly", number(10*mo.InFlight()), number(10*perDC*2), "as ten crashes; the other hosts of the data centre carry "+percent(10/max(11, perDC))+" more")
-	writeRow(out, "a data centre", "a few a year", number(perDC*mo.InFlight()), number(perDC*2), percent(1/si.DataCentres)+" of the traffic; callers are led elsewhere by the balancer")
-	writeRow(out, "a region is cut off for an hour", "now and then", "0 of its own callers", "0", "each side serves its callers from its own engines and keeps its last configuration")
+	writeRow(out, "event", "how often", "requests in flight that callers lose", "part of a day's requests", "control messages", "recovery")
+	writeRow(out, "---", "---", "---:", "---:", "---:", "---")
+	writeRow(out, "a host crashes", number(si.Lost)+"/day", number(mo.InFlight()), mo.partOfDay(si.Lost*mo.InFlight()), number(perDC*2), "callers repeat at another host; no state to rebuild; the hosts' count is right when the platform's list is")
+	writeRow(out, "a host is replaced", number(si.Replaced)+"/day", "0", "0", number(perDC*2), "lame duck, then every answer is finished")
+	writeRow(out, "a rack or switch (10 hosts)", "weekly", number(10*mo.InFlight()), mo.partOfDay(10*mo.InFlight()), number(10*perDC*2), "as ten crashes; the other hosts of the data centre carry "+percent(10/max(11, perDC))+" more")
+	writeRow(out, "a data centre", "a few a year", number(perDC*mo.InFlight()), mo.partOfDay(perDC*mo.InFlight()), number(perDC*2), percent(1/si.DataCentres)+" of the traffic; callers are led elsewhere by the balancer")
+	writeRow(out, "a region is cut off for an hour", "now and then", "0 of its own callers", "0", "0", "each side serves its callers from its own engines and keeps its last configuration")
 	fmt.Fprintln(out)
 }
 
+// partOfDay returns requests as a part of those of a day at the peak.
+func (mo *Model) partOfDay(requests float64) string {
+	return fmt.Sprintf("%.5f %%", 100*requests/(mo.size.Requests*secondsPerDay))
+}
+
 func (mo *Model) writeSlopes(out io.Writer) {
 	fmt.Fprintf(out, "### Slopes\n\n")
 	writeRow(out, "slope", "at zero", "per x", "x", "unit", "points", "measured to", "used at", "factor", "R²")
