--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -46,8 +46,9 @@
 	lines            []trace.Line
 }
 
-// eachScene runs a check on every recorded scene of both users.
-func eachScene(t *testing.T, check func(t *testing.T, sc scene)) {
+// eachScene runs a check on every recorded scene of both users, with a number added
+// to the scene's seed.
+func eachScene(t *testing.T, otherSeed uint64, check func(t *testing.T, sc scene)) {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join("testdata", "*", "*.spec.json"))
 	require.NoError(t, err)
@@ -63,6 +64,7 @@
 			sc.set = exampleSet(t, sc.user)
 			var spec trace.Spec
 			readJSON(t, path, &spec)
+			spec.Seed += otherSeed
 			var err error
 			sc.lines, err = trace.Generate(spec, sc.set)
 			require.NoError(t, err)
@@ -72,20 +74,30 @@
 }
 
 func TestStatedOutcomes(t *testing.T) {
-	eachScene(t, func(t *testing.T, sc scene) {
-		result, err := replay.Run(sc.set, sc.lines)
-		require.NoError(t, err)
-		var expectations []replay.Expectation
-		readJSON(t, strings.Replace(sc.path, ".spec.", ".expect.", 1), &expectations)
-		require.NotEmpty(t, expectations)
-		require.Empty(t, result.Check(expectations))
-	})
+	eachScene(t, 0, checkStated)
+}
+
+// TestStatedOutcomesWithAnotherSeed draws other arrivals and lengths of the same
+// scenes.
+func TestStatedOutcomesWithAnotherSeed(t *testing.T) {
+	const otherSeed = 500
+	eachScene(t, otherSeed, checkStated)
+}
+
+func checkStated(t *testing.T, sc scene) {
+	t.Helper()
+	result, err := replay.Run(sc.set, sc.lines)
+	require.NoError(t, err)
+	var expectations []replay.Expectation
+	readJSON(t, strings.Replace(sc.path, ".spec.", ".expect.", 1), &expectations)
+	require.NotEmpty(t, expectations)
+	require.Empty(t, result.Check(expectations))
 }
 
 // TestNoBaselineIsBetter checks that no baseline serves the class that the user
 // weighs most better.
 func TestNoBaselineIsBetter(t *testing.T) {
-	eachScene(t, func(t *testing.T, sc scene) {
+	eachScene(t, 0, func(t *testing.T, sc scene) {
 		result, err := replay.Run(sc.set, sc.lines)
 		require.NoError(t, err)
 		ours := result.Class(weighedMost[sc.user])
