Read the change again: one lock less on the relay, doubled work and code out

Cause: a last reading found, on the request path, that every relayed token took the lock which a report of all classes holds for as long as it runs; that a body was copied three times where a streaming caller needs one copy; and that a list of messages was built to see whether it is empty. Elsewhere: the work of a class stood in two structures, a function of the queue and a field of service calls were used by nothing, and two breaks of one loop said the same. The relay was not measured again. Conclusion: no check or bound was changed.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -165,26 +165,3 @@
 	}
 	return total
 }
-
-// Last returns the waiting request that is served last; nil if none waits.
-func (qu *Queue) Last() *Item {
-	for ti := len(qu.tiers) - 1; ti >= 0; ti-- {
-		for la := len(qu.tiers[ti]) - 1; la >= 0; la-- {
-			items := qu.tiers[ti][la].items
-			if len(items) > 0 {
-				return latest(items)
-			}
-		}
-	}
-	return nil
-}
-
-func latest(items []*Item) *Item {
-	last := items[0]
-	for _, it := range items[1:] {
-		if startsBefore(last, it) {
-			last = it
-		}
-	}
-	return last
-}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -90,7 +90,7 @@
 	}
 	require.Equal(rt, all, qu.Ahead(mp.MaxTier, false))
 	if len(waiting) == 0 {
-		require.Nil(rt, qu.Last())
+		require.Nil(rt, qu.Peek())
 		return
 	}
 	require.Nil(rt, qu.Expired(first.Add(-time.Nanosecond)))
--- a/burn/burn.go
+++ b/burn/burn.go
@@ -44,18 +44,6 @@
 	Alert string `json:"alert,omitempty"`
 }
 
-// Work is the work of an organisation's class.
-type Work struct {
-	Organisation mp.OrganisationID    `json:"organisation"`
-	Class        mp.ClassName         `json:"class"`
-	Tier         mp.Tier              `json:"tier"`
-	Requests     uint64               `json:"requests"`
-	Completed    uint64               `json:"completed"`
-	Goodput      mp.Tokens            `json:"goodput_tokens"`
-	Wasted       map[string]mp.Tokens `json:"wasted_tokens,omitempty"`
-	Failures     map[string]uint64    `json:"failures,omitempty"`
-}
-
 // Times is quantiles of a target's times in a tier.
 type Times struct {
 	Tier   mp.Tier     `json:"tier"`
@@ -76,10 +64,10 @@
 	// every host had the same.
 	Lacking float64 `json:"lacking"`
 	// QuantileError is the relative error of quantiles. Counts are exact.
-	QuantileError float64 `json:"quantile_error"`
-	Rows          []Row   `json:"rows"`
-	Work          []Work  `json:"work"`
-	Times         []Times `json:"times"`
+	QuantileError float64      `json:"quantile_error"`
+	Rows          []Row        `json:"rows"`
+	Work          []meter.Work `json:"work"`
+	Times         []Times      `json:"times"`
 }
 
 type rowKey struct {
@@ -102,7 +90,7 @@
 type sums struct {
 	targets map[rowKey]*meter.TargetReport
 	tiers   map[workKey]mp.Tier
-	work    map[workKey]*Work
+	work    map[workKey]*meter.Work
 	times   map[timesKey]*meter.Sketch
 }
 
@@ -112,7 +100,7 @@
 	su := &sums{
 		targets: map[rowKey]*meter.TargetReport{},
 		tiers:   map[workKey]mp.Tier{},
-		work:    map[workKey]*Work{},
+		work:    map[workKey]*meter.Work{},
 		times:   map[timesKey]*meter.Sketch{},
 	}
 	re := &Report{Silent: silent, QuantileError: meter.Accuracy}
@@ -137,19 +125,10 @@
 	su.tiers[key] = cr.Tier
 	wo, ok := su.work[key]
 	if !ok {
-		wo = &Work{Organisation: cr.Organisation, Class: cr.Class, Wasted: map[string]mp.Tokens{}, Failures: map[string]uint64{}}
+		wo = &meter.Work{Organisation: cr.Organisation, Class: cr.Class, Wasted: map[string]mp.Tokens{}, Failures: map[string]uint64{}}
 		su.work[key] = wo
 	}
-	wo.Tier = cr.Tier
-	wo.Requests += cr.Requests
-	wo.Completed += cr.Completed
-	wo.Goodput += cr.Goodput
-	for cause, tokens := range cr.Wasted {
-		wo.Wasted[cause] += tokens
-	}
-	for kind, count := range cr.Failures {
-		wo.Failures[kind] += count
-	}
+	wo.Add(cr.Work)
 	for target, tr := range cr.Targets {
 		su.addTarget(rowKey{organisation: cr.Organisation, class: cr.Class, target: target}, tr)
 	}
@@ -205,7 +184,7 @@
 	slices.SortFunc(re.Rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Target, b.Target))
 	})
-	slices.SortFunc(re.Work, func(a, b Work) int {
+	slices.SortFunc(re.Work, func(a, b meter.Work) int {
 		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Class, b.Class))
 	})
 	slices.SortFunc(re.Times, func(a, b Times) int {
--- a/caller/body.go
+++ b/caller/body.go
@@ -89,7 +89,7 @@
 		return nil, mp.NewError(mp.KindInvalidRequest, "field \"model\" is missing or is not a string")
 	}
 	chat := strings.HasPrefix(ex.request.URL.Path, "/v1/chat/")
-	if chat && (!messages.IsArray() || len(messages.Array()) == 0) {
+	if chat && (!messages.IsArray() || !messages.Get("0").Exists()) {
 		return nil, mp.NewError(mp.KindInvalidRequest, "field \"messages\" is missing or is not a list with messages")
 	}
 	if !chat && !prompt.Exists() {
@@ -104,14 +104,15 @@
 	cm := &completion{
 		model:       mp.ModelID(model.Str),
 		stream:      stream.Bool(),
-		wantsUsage:  usage.Bool(),
+		wantsUsage:  usage.Type == gjson.True,
 		resumable:   choices.Int() <= 1,
 		answerLimit: mp.Tokens(max(limit.Int(), newLimit.Int())),
 		prompt:      mp.Tokens(len(body)/bytesPerToken + 1),
 		prefix:      messages.Get("0.content").String(),
 	}
 	if !chat {
-		cm.prefix = prompt.String()[:min(prefixBytes, len(prompt.String()))]
+		text := prompt.String()
+		cm.prefix = text[:min(prefixBytes, len(text))]
 	}
 	return cm, nil
 }
@@ -126,18 +127,20 @@
 
 // engineBody returns the body that is sent to the engine: always a stream with
 // its usage at the end, with the request's priority. Fields that the router does
-// not know stay as they are.
-func engineBody(body []byte, priority int) ([]byte, error) {
-	out, err := sjson.SetBytes(body, "stream", true)
-	if err != nil {
-		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream\" cannot be set")
-	}
-	out, err = sjson.SetBytes(out, "stream_options.include_usage", true)
-	if err != nil {
-		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream_options\" cannot be set")
-	}
-	out, err = sjson.SetBytes(out, "priority", priority)
-	if err != nil {
+// not know stay as they are, and the body is copied only for what differs.
+func engineBody(body []byte, cm *completion, priority int) ([]byte, error) {
+	out, err := body, error(nil)
+	if !cm.stream {
+		if out, err = sjson.SetBytes(out, "stream", true); err != nil {
+			return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream\" cannot be set")
+		}
+	}
+	if !cm.wantsUsage {
+		if out, err = sjson.SetBytes(out, "stream_options.include_usage", true); err != nil {
+			return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"stream_options\" cannot be set")
+		}
+	}
+	if out, err = sjson.SetBytes(out, "priority", priority); err != nil {
 		return nil, mp.WrapError(err, mp.KindInvalidRequest, "field \"priority\" cannot be set")
 	}
 	return out, nil
--- a/caller/run.go
+++ b/caller/run.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	ru.lease = lease
-	if ru.body, err = engineBody(ru.body, lease.Priority()); err != nil {
+	if ru.body, err = engineBody(ru.body, ru.request, lease.Priority()); err != nil {
 		lease.Release(mp.Outcome{})
 		return err
 	}
--- a/caller/service.go
+++ b/caller/service.go
@@ -66,7 +66,7 @@
 	if query := ex.request.URL.RawQuery; query != "" {
 		path += "?" + query
 	}
-	return service.Call{ID: ex.id, Method: ex.request.Method, Path: path, Header: header, Body: body}
+	return service.Call{Method: ex.request.Method, Path: path, Header: header, Body: body}
 }
 
 // keptHeaders are the headers of a service's answer that the caller gets.
--- a/meter/class.go
+++ b/meter/class.go
@@ -107,21 +107,40 @@
 	Long  Counts `json:"long"`
 }
 
+// Work is the requests and tokens of an organisation's class.
+type Work struct {
+	Organisation mp.OrganisationID    `json:"organisation"`
+	Class        mp.ClassName         `json:"class"`
+	Tier         mp.Tier              `json:"tier"`
+	Requests     uint64               `json:"requests"`
+	Completed    uint64               `json:"completed"`
+	Goodput      mp.Tokens            `json:"goodput_tokens"`
+	Wasted       map[string]mp.Tokens `json:"wasted_tokens,omitempty"`
+	Failures     map[string]uint64    `json:"failures,omitempty"`
+}
+
+// Add adds the work of the same class on another host.
+func (wo *Work) Add(other Work) {
+	wo.Tier = other.Tier
+	wo.Requests += other.Requests
+	wo.Completed += other.Completed
+	wo.Goodput += other.Goodput
+	for cause, tokens := range other.Wasted {
+		wo.Wasted[cause] += tokens
+	}
+	for kind, count := range other.Failures {
+		wo.Failures[kind] += count
+	}
+}
+
 // ClassReport is the outcomes of a class, for operators.
 type ClassReport struct {
-	Organisation mp.OrganisationID       `json:"organisation"`
-	Class        mp.ClassName            `json:"class"`
-	Tier         mp.Tier                 `json:"tier"`
-	Requests     uint64                  `json:"requests"`
-	Completed    uint64                  `json:"completed"`
-	Goodput      mp.Tokens               `json:"goodput_tokens"`
-	Wasted       map[string]mp.Tokens    `json:"wasted_tokens,omitempty"`
-	Failures     map[string]uint64       `json:"failures,omitempty"`
-	Targets      map[string]TargetReport `json:"targets"`
+	Work
+	Targets map[string]TargetReport `json:"targets"`
 }
 
 func (cl *Class) report(now time.Time) ClassReport {
-	cr := ClassReport{
+	cr := ClassReport{Targets: map[string]TargetReport{}, Work: Work{
 		Organisation: cl.Organisation,
 		Class:        cl.Name,
 		Tier:         cl.Tier,
@@ -130,8 +149,7 @@
 		Goodput:      cl.Goodput,
 		Wasted:       map[string]mp.Tokens{},
 		Failures:     map[string]uint64{},
-		Targets:      map[string]TargetReport{},
-	}
+	}}
 	for wa, tokens := range cl.Wasted {
 		if tokens > 0 {
 			cr.Wasted[Waste(wa).String()] = tokens
@@ -162,26 +180,31 @@
 
 // Tiers returns the distributions of every tier that had a request.
 func (me *Meter) Tiers() []TierReport {
-	me.mu.Lock()
-	defer me.mu.Unlock()
 	var reports []TierReport
-	for ti := range me.tiers {
-		tr := TierReport{Tier: mp.Tier(ti), Sketches: map[string][]byte{}}
-		for ta, sk := range me.tiers[ti].sketches {
-			if sk.Count() == 0 {
-				continue
-			}
-			if encoded, err := sk.MarshalBinary(); err == nil {
-				tr.Sketches[Target(ta).String()] = encoded
-			}
-		}
-		if len(tr.Sketches) > 0 {
-			reports = append(reports, tr)
+	for ti, tm := range me.tiers {
+		if sketches := tm.encode(); len(sketches) > 0 {
+			reports = append(reports, TierReport{Tier: mp.Tier(ti), Sketches: sketches})
 		}
 	}
 	return reports
 }
 
+// encode returns the sketches that have a value.
+func (tm *tierMetrics) encode() map[string][]byte {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	sketches := map[string][]byte{}
+	for ta, sk := range tm.sketches {
+		if sk.Count() == 0 {
+			continue
+		}
+		if encoded, err := sk.MarshalBinary(); err == nil {
+			sketches[Target(ta).String()] = encoded
+		}
+	}
+	return sketches
+}
+
 // Report returns the outcomes of every class that had a request, in the order
 // of organisations and classes.
 func (me *Meter) Report() []ClassReport {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,7 +52,7 @@
 	inFlight atomic.Int64
 	answered tally.Counter
 	failed   []tally.Counter
-	tiers    [mp.TierCount]tierMetrics
+	tiers    [mp.TierCount]*tierMetrics
 
 	mu      sync.Mutex
 	classes map[classKey]*Class
@@ -69,7 +69,11 @@
 	gap        tally.Histogram
 	tokens     tally.Counter
 	wasted     [wasteCount]tally.Counter
-	sketches   [targetCount]*Sketch // under the meter's lock
+
+	// mu guards the sketches alone, so that a report of all classes does not hold
+	// up the relay of tokens.
+	mu       sync.Mutex
+	sketches [targetCount]*Sketch
 }
 
 var (
@@ -77,6 +81,12 @@
 	gapBuckets        = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.3, 20)
 )
 
+func (tm *tierMetrics) add(ta Target, taken time.Duration, count mp.Tokens) {
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	tm.sketches[ta].add(taken, count)
+}
+
 // Option changes a meter under construction.
 type Option func(*Meter)
 
@@ -104,9 +114,9 @@
 	return me
 }
 
-func newTierMetrics(scope tally.Scope, tier int) tierMetrics {
+func newTierMetrics(scope tally.Scope, tier int) *tierMetrics {
 	tagged := scope.Tagged(map[string]string{"tier": string(rune('0' + tier))})
-	tm := tierMetrics{
+	tm := &tierMetrics{
 		firstToken: tagged.Histogram("first_token_seconds", firstTokenBuckets),
 		gap:        tagged.Histogram("between_tokens_seconds", gapBuckets),
 		tokens:     tagged.Counter("answer_tokens"),
@@ -161,9 +171,9 @@
 }
 
 func (rq *Request) count(ta Target, taken, bound time.Duration) {
+	rq.meter.tiers[rq.tier].add(ta, taken, 1)
 	rq.meter.mu.Lock()
 	defer rq.meter.mu.Unlock()
-	rq.meter.tiers[rq.tier].sketches[ta].add(taken, 1)
 	if taken <= bound {
 		rq.class.add(rq.meter.clock.Now(), ta, 1, 0)
 	} else {
@@ -186,9 +196,7 @@
 	}
 	each := taken / time.Duration(tokens)
 	rq.meter.tiers[rq.tier].gap.RecordDuration(each)
-	rq.meter.mu.Lock()
-	defer rq.meter.mu.Unlock()
-	rq.meter.tiers[rq.tier].sketches[BetweenTokens].add(each, tokens)
+	rq.meter.tiers[rq.tier].add(BetweenTokens, each, tokens)
 }
 
 // Completed counts an answer that the caller has whole.
--- a/service/client.go
+++ b/service/client.go
@@ -40,7 +40,6 @@
 
 // Call is one call of a plain service.
 type Call struct {
-	ID     mp.RequestID
 	Method string
 	// Path is the path at the service, with its query.
 	Path   string
@@ -70,9 +69,6 @@
 			return answer, nil
 		}
 		last = err
-		if ctx.Err() != nil && !sent {
-			break
-		}
 		if sent && !se.Idempotent {
 			return nil, mp.WrapError(err, mp.KindOutcomeUnknown, "service %q may have run the call and gave no answer", se.Name)
 		}
