--- /dev/null
+++ b/cmd/mangopaddle/gateway.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/eventlog"
+	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/platform"
+)
+
+// gatewayCommand runs a host on the platform's machines.
+type gatewayCommand struct {
+	stdout, stderr io.Writer
+	settings       string
+	level          string
+}
+
+func newGateway(stdout, stderr io.Writer) *gatewayCommand {
+	return &gatewayCommand{stdout: stdout, stderr: stderr}
+}
+
+func (gc *gatewayCommand) command() *ffcli.Command {
+	set := flags("gateway", gc.stderr)
+	set.StringVar(&gc.settings, "settings", os.Getenv(platform.SettingsVariable), "JSON file with settings; the default is named by "+platform.SettingsVariable)
+	set.StringVar(&gc.level, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	return &ffcli.Command{
+		Name:       "gateway",
+		ShortUsage: "mangopaddle gateway [--settings FILE]",
+		ShortHelp:  "Run a host on the platform's machines until SIGTERM, then finish the requests in progress.",
+		FlagSet:    set,
+		Exec:       gc.run,
+	}
+}
+
+func (gc *gatewayCommand) run(ctx context.Context, args []string) error {
+	if err := noArguments(args); err != nil {
+		return errors.Trace(err)
+	}
+	settings, err := gateway.ReadSettings(gc.settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	out, flush := eventlog.New(gc.stdout)
+	defer flush()
+	logger, err := newLogger(out, gc.level)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ga, stop, err := gateway.New(settings, gateway.WithLogger(logger))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer stop()
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return errors.Trace(ga.Drain(context.WithoutCancel(ctx)))
+	case err := <-ga.Failed():
+		return errors.Trace(err)
+	}
+}
--- a/cmd/mangopaddle/root.go
+++ b/cmd/mangopaddle/root.go
@@ -54,6 +54,7 @@
 		FlagSet:    set,
 		Subcommands: []*ffcli.Command{
 			newServe(stderr).command(),
+			newGateway(stdout, stderr).command(),
 			newQuickstart(stdout, stderr).command(),
 			newStandin(stdout, stderr).command(),
 			newCheck(stdout, stderr).command(),
--- a/platform/messages.go
+++ b/configwatch/messages.go
@@ -1,4 +1,4 @@
-package platform
+package configwatch
 
 import (
 	"time"
--- a/platform/watcher.go
+++ b/configwatch/watcher.go
@@ -1,6 +1,6 @@
-// Package platform reads what the platform publishes: configuration revisions,
+// Package configwatch reads what the platform publishes: configuration revisions,
 // with a watch, and the list of live and leaving machines.
-package platform
+package configwatch
 
 import (
 	"context"
--- /dev/null
+++ b/follow/view.go
@@ -0,0 +1,54 @@
+// Package follow keeps what a host believes of the platform: the configuration
+// in force and the list of backend servers, from the platform's store or, while
+// the store does not answer this host, from other hosts.
+package follow
+
+import (
+	"sync/atomic"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/directory"
+	"github.com/mangopaddle/mangopaddle/routing"
+)
+
+// Snapshot is what a host believes at one moment. It is immutable.
+type Snapshot struct {
+	// Table routes requests; nil before the first configuration.
+	Table *routing.Table
+	// Raw is the configuration as the operator wrote it.
+	Raw []byte
+	// TableAt is when the configuration came into force here.
+	TableAt time.Time
+	// Servers are the listed backend servers.
+	Servers []directory.Server
+	// ListRevision is the store's revision of the list.
+	ListRevision mp.Revision
+	// ListAt is when the list was last known to be current.
+	ListAt time.Time
+}
+
+// Version returns the version of the configuration in force, zero for none.
+func (sn *Snapshot) Version() mp.Version {
+	if sn.Table == nil {
+		return 0
+	}
+	return sn.Table.Version
+}
+
+// View holds the newest snapshot.
+type View struct {
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// NewView returns a view of an empty snapshot.
+func NewView() *View {
+	vi := &View{}
+	vi.snapshot.Store(&Snapshot{})
+	return vi
+}
+
+// Load returns the newest snapshot.
+func (vi *View) Load() *Snapshot { return vi.snapshot.Load() }
+
+func (vi *View) store(sn *Snapshot) { vi.snapshot.Store(sn) }
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,114 @@
+// Package gateway serves callers on the platform's machines: it finds the route
+// and the organisation of a request, chooses a backend server, sends the request
+// and relays the answer.
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+// Settings are the settings of a host on the platform's machines. The platform
+// writes them from a template, in JSON.
+type Settings struct {
+	// Host names this entry host.
+	Host       mp.HostID       `json:"host"`
+	DataCentre mp.DataCentreID `json:"data_centre"`
+	Region     mp.RegionID     `json:"region"`
+	// Regions tells the region of each data centre.
+	Regions map[mp.DataCentreID]mp.RegionID `json:"regions"`
+	// Callers, Readiness, Peers and Metrics are the addresses to listen on.
+	Callers   string `json:"callers"`
+	Readiness string `json:"readiness"`
+	Peers     string `json:"peers"`
+	Metrics   string `json:"metrics"`
+	// Seeds are addresses of other hosts; some may be stale.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// StopTime is the time from SIGTERM to SIGKILL.
+	StopTime mp.Duration `json:"stop_time"`
+	// RetryRatio, RetryWindow and RetrySlack bound the retries of all hosts.
+	RetryRatio  float64     `json:"retry_ratio"`
+	RetryWindow mp.Duration `json:"retry_window"`
+	RetrySlack  float64     `json:"retry_slack"`
+	// Memory is what the process may use.
+	Memory int64 `json:"memory_mb"`
+}
+
+// ReadSettings reads and checks a settings file.
+func ReadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	se, err := DecodeSettings(data)
+	return se, errors.Annotatef(err, "settings file %s", path)
+}
+
+// DecodeSettings reads and checks settings.
+func DecodeSettings(data []byte) (Settings, error) {
+	se := Settings{RetryRatio: defaultRetryRatio, RetryWindow: mp.Duration(defaultRetryWindow), StopTime: mp.Duration(defaultStopTime)}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&se); err != nil {
+		return Settings{}, errors.NewNotValid(err, "settings are not valid")
+	}
+	return se, se.Check()
+}
+
+const (
+	defaultRetryRatio  = 0.1
+	defaultRetryWindow = 10 * time.Second
+	defaultStopTime    = 8 * time.Second
+)
+
+// Check returns what is wrong with the settings, in one error.
+func (se Settings) Check() error {
+	var faults []string
+	add := func(name string, value any, want string) {
+		faults = append(faults, fmt.Sprintf("%s is %q; want %s", name, fmt.Sprint(value), want))
+	}
+	if se.Host == "" {
+		add("host", se.Host, "the name of this host")
+	}
+	addresses := []struct{ name, value string }{
+		{"callers", se.Callers},
+		{"readiness", se.Readiness},
+		{"peers", se.Peers},
+		{"metrics", se.Metrics},
+		{"store", se.Store},
+	}
+	for _, ad := range addresses {
+		if _, err := netip.ParseAddrPort(ad.value); err != nil {
+			add(ad.name, ad.value, "an IP number with a port, such as 10.0.0.1:8080")
+		}
+	}
+	for ix, seed := range se.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			add(fmt.Sprintf("seeds[%d]", ix), seed, "an IP number with a port")
+		}
+	}
+	if se.RetryRatio < 0 || se.RetryRatio > 1 {
+		add("retry_ratio", se.RetryRatio, "a share between 0 and 1")
+	}
+	if se.RetryWindow <= 0 {
+		add("retry_window", se.RetryWindow, "a positive time span")
+	}
+	if se.StopTime <= 0 {
+		add("stop_time", se.StopTime, "a positive time span")
+	}
+	if len(faults) > 0 {
+		return errors.NotValidf("settings: %s:", strings.Join(faults, "; "))
+	}
+	return nil
+}
--- a/host/host.go
+++ b/host/host.go
@@ -26,7 +26,7 @@
 	"github.com/mangopaddle/mangopaddle/metrics"
 	"github.com/mangopaddle/mangopaddle/operator"
 	"github.com/mangopaddle/mangopaddle/pausewatch"
-	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/configwatch"
 	"github.com/mangopaddle/mangopaddle/pool"
 	"github.com/mangopaddle/mangopaddle/publish"
 	"github.com/mangopaddle/mangopaddle/schedule"
@@ -115,7 +115,7 @@
 	if err := ho.startLoop(po, scope); err != nil {
 		return errors.Trace(err)
 	}
-	ho.addCleanup(platform.New(ho.settings.Platform, ho.loop, platform.WithClock(ho.clock)))
+	ho.addCleanup(configwatch.New(ho.settings.Platform, ho.loop, configwatch.WithClock(ho.clock)))
 
 	ho.addCleanup(loadwatch.New(ho.view, po, loadwatch.WithClock(ho.clock)))
 
--- a/ids.go
+++ b/ids.go
@@ -44,3 +44,14 @@
 // Revision orders the published configuration sets. A higher one is newer;
 // zero means that none was seen.
 type Revision uint64
+
+// ServerID names one start of a backend server: a server that starts again
+// usually has a new one.
+type ServerID string
+
+// RouteName names a route of the operator's configuration.
+type RouteName string
+
+// Version orders the operator's configurations. A higher one is newer; zero
+// means that none was seen.
+type Version int64
--- /dev/null
+++ b/placement/placer.go
@@ -0,0 +1,246 @@
+// Package placement decides which backend server gets a request. It does no I/O
+// and reads no clock.
+//
+// Model engines are chosen by the shared parts of the prompt: all hosts rank the
+// engines of a part alike, so that it is read once and found in memory by the
+// requests that follow, whichever host sends them.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens mp.Tokens
+}
+
+// Work is a request as the placement sees it.
+type Work struct {
+	Service mp.ServiceName
+	// Prompt holds the parts of the prompt in order; the last one belongs to the
+	// request alone.
+	Prompt []Part
+	// Tokens is the length of the whole prompt.
+	Tokens mp.Tokens
+	// Target is the time until the answer, or until the first event.
+	Target time.Duration
+	// Exclude are servers that the request must not go to.
+	Exclude []mp.ServerID
+}
+
+// shared returns the length of the shared parts and the identifier that a home
+// is chosen by.
+func (wo *Work) shared() (mp.Tokens, uint64) {
+	if len(wo.Prompt) < 2 {
+		return 0, 0
+	}
+	var tokens mp.Tokens
+	for _, pa := range wo.Prompt[:len(wo.Prompt)-1] {
+		tokens += pa.Tokens
+	}
+	return tokens, wo.Prompt[len(wo.Prompt)-2].ID
+}
+
+// Choice is a chosen server with what the choice was made by.
+type Choice struct {
+	Server Server
+	// Expected is the time until the first event or the answer.
+	Expected time.Duration
+	// Rank is the place of the server in the order of the prompt's shared part.
+	Rank int
+	// InFlight is how many requests of this host the server had.
+	InFlight int
+	// Unread counts the prompt tokens that the request adds to the engine's queue.
+	Unread mp.Tokens
+}
+
+// Outcome is how a request at a backend server ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Succeeded is a whole answer.
+	Succeeded Outcome = iota
+	// Failed is an answer that failed, broke off or could not be trusted.
+	Failed
+	// Rejected is a request that the server did not run because it was full.
+	Rejected
+	// Unreachable is a server that could not be connected to.
+	Unreachable
+	// Misplaced is an address that another server has.
+	Misplaced
+	// Cancelled is a request that the host or its caller gave up.
+	Cancelled
+)
+
+// Placer chooses backend servers. It is not safe for concurrent use.
+type Placer struct {
+	random   *rand.Rand
+	servers  map[mp.ServerID]*server
+	services map[mp.ServiceName][]*server
+}
+
+// Option changes a placer under construction.
+type Option func(*Placer)
+
+// WithSeed sets the seed of the choice between equal servers.
+func WithSeed(seed uint64) Option {
+	return func(pl *Placer) { pl.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a placer without servers.
+func New(opts ...Option) *Placer {
+	pl := &Placer{
+		random:   rand.New(rand.NewPCG(1, 1)),
+		servers:  map[mp.ServerID]*server{},
+		services: map[mp.ServiceName][]*server{},
+	}
+	for _, opt := range opts {
+		opt(pl)
+	}
+	return pl
+}
+
+// SetServers replaces the servers that may get requests and keeps what is known
+// of those that stay.
+func (pl *Placer) SetServers(descriptions []Server) {
+	kept := make(map[mp.ServerID]*server, len(descriptions))
+	services := map[mp.ServiceName][]*server{}
+	for _, description := range descriptions {
+		se, ok := pl.servers[description.ID]
+		if !ok {
+			se = newServer(description)
+		}
+		se.Server = description
+		kept[description.ID] = se
+		services[description.Service] = append(services[description.Service], se)
+	}
+	pl.servers, pl.services = kept, services
+}
+
+// Choose returns a server for the work, false if there is none.
+func (pl *Placer) Choose(now time.Time, wo *Work) (Choice, bool) {
+	candidates := pl.candidates(now, wo)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	if !candidates[0].Engine {
+		return pl.chooseReplica(now, candidates), true
+	}
+	return pl.chooseEngine(now, wo, candidates), true
+}
+
+// candidates returns the servers that may get the work: those that are not
+// avoided, or else all.
+func (pl *Placer) candidates(now time.Time, wo *Work) []*server {
+	var sound, others []*server
+	for _, se := range pl.services[wo.Service] {
+		switch {
+		case slices.Contains(wo.Exclude, se.ID):
+		case se.isAvoided(now):
+			others = append(others, se)
+		default:
+			sound = append(sound, se)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return others
+}
+
+// failureCost is what a server that always fails seems farther away than one
+// that never does.
+const failureCost = time.Second
+
+// slotCost is what each own request in flight adds to a plain server's expected
+// time.
+const slotCost = 10 * time.Millisecond
+
+// chooseReplica returns the plain server with the least expected time.
+func (pl *Placer) chooseReplica(now time.Time, candidates []*server) Choice {
+	best, ties := candidates[0], 0
+	var least time.Duration
+	for _, se := range candidates {
+		expected := roundTrip[se.Distance] + time.Duration(se.inFlight)*slotCost +
+			time.Duration(se.failureShare(now)*float64(failureCost))
+		switch {
+		case ties == 0 || expected < least:
+			best, least, ties = se, expected, 1
+		case expected == least:
+			ties++
+			if pl.random.IntN(ties) == 0 {
+				best = se
+			}
+		}
+	}
+	return Choice{Server: best.Server, Expected: least, InFlight: best.inFlight}
+}
+
+// Begin records that the work was sent to the chosen server.
+func (pl *Placer) Begin(ch Choice) {
+	if se, ok := pl.servers[ch.Server.ID]; ok {
+		se.inFlight++
+		se.unread += ch.Unread
+	}
+}
+
+// First records that the first event or the answer came after a time.
+func (pl *Placer) First(now time.Time, ch Choice, took time.Duration) {
+	se, ok := pl.servers[ch.Server.ID]
+	if !ok {
+		return
+	}
+	se.unread = max(0, se.unread-ch.Unread)
+	se.observeDelay(now, took-roundTrip[se.Distance]-readTime(ch.Unread))
+}
+
+// End records how the work ended. Began says whether its first event came.
+func (pl *Placer) End(now time.Time, ch Choice, began bool, outcome Outcome) {
+	se, ok := pl.servers[ch.Server.ID]
+	if !ok {
+		return
+	}
+	se.inFlight = max(0, se.inFlight-1)
+	if !began {
+		se.unread = max(0, se.unread-ch.Unread)
+	}
+	switch outcome {
+	case Succeeded:
+		se.succeed(now)
+	case Failed:
+		if se.fail(now) && pl.mayEject(now, se) {
+			se.eject(now)
+		}
+	case Unreachable, Misplaced:
+		se.until = now.Add(unreachableTime)
+	case Rejected:
+		se.observeDelay(now, time.Second)
+	case Cancelled:
+	}
+}
+
+// ejectedPart is the share of a service, one in this many, that may be ejected.
+const ejectedPart = 2
+
+func (pl *Placer) mayEject(now time.Time, failing *server) bool {
+	servers := pl.services[failing.Service]
+	avoided := 1
+	for _, se := range servers {
+		if se != failing && se.isAvoided(now) {
+			avoided++
+		}
+	}
+	return avoided*ejectedPart <= len(servers)
+}
+
+// readTime returns how long an engine reads a prompt.
+func readTime(tokens mp.Tokens) time.Duration {
+	return time.Duration(float64(tokens) / initialReadRate * float64(time.Second))
+}
--- /dev/null
+++ b/placement/server.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+// Distance is how far a backend server is from the host.
+type Distance int
+
+// The distances.
+const (
+	SameDataCentre Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Server describes a backend server that may get requests.
+type Server struct {
+	ID       mp.ServerID
+	Service  mp.ServiceName
+	Address  string
+	Slots    int
+	Distance Distance
+	// Engine says that the server is a model engine.
+	Engine bool
+}
+
+const (
+	// initialReadRate is how fast a model engine is taken to read prompts before
+	// any of its answers was seen.
+	initialReadRate = 40_000.0 // tokens/s
+	// delayHalfLife is how fast an observed delay is forgotten: queues of prompts
+	// come and go within a second or two.
+	delayHalfLife = time.Second
+	// delayWeight is the weight of a new observation of the delay.
+	delayWeight = 0.4
+
+	// failuresToEject is how many failures in a row take a server out.
+	failuresToEject = 3
+	firstEjection   = time.Second
+	longestEjection = 8 * time.Second
+	// unreachableTime is how long a server that could not be reached is avoided.
+	unreachableTime = time.Second
+	// failureHalfLife is how fast the share of failed requests is forgotten.
+	failureHalfLife = 3 * time.Second
+)
+
+// roundTrip is the network's part of the time to the first byte.
+var roundTrip = [...]time.Duration{
+	SameDataCentre: 200 * time.Microsecond,
+	SameRegion:     2 * time.Millisecond,
+	OtherRegion:    60 * time.Millisecond,
+}
+
+// server is what a host knows of a backend server.
+type server struct {
+	Server
+	hash uint64 // of the identifier
+
+	inFlight int
+	// unread counts the prompt tokens of own requests without a first event.
+	unread mp.Tokens
+	// delay is how much later than its own reading a first event came, a running
+	// mean at the time delayAt.
+	delay   time.Duration
+	delayAt time.Time
+
+	// failed and succeeded are fading counts of outcomes at the time countedAt.
+	failed    float64
+	succeeded float64
+	countedAt time.Time
+
+	failures int // in a row
+	ejection time.Duration
+	until    time.Time // the server is avoided
+}
+
+func newServer(description Server) *server {
+	return &server{Server: description, hash: hashText(string(description.ID))}
+}
+
+// isAvoided says whether the server is not to be used at a time.
+func (se *server) isAvoided(now time.Time) bool {
+	return now.Before(se.until)
+}
+
+// currentDelay returns the observed delay, faded by its age.
+func (se *server) currentDelay(now time.Time) time.Duration {
+	return fade(se.delay, now.Sub(se.delayAt), delayHalfLife)
+}
+
+// observeDelay takes a delay beyond the reading of the prompt.
+func (se *server) observeDelay(now time.Time, delay time.Duration) {
+	known := se.currentDelay(now)
+	se.delay = known + time.Duration(delayWeight*float64(max(0, delay)-known))
+	se.delayAt = now
+}
+
+// failureShare returns the share of recent requests that failed.
+func (se *server) failureShare(now time.Time) float64 {
+	se.fadeCounts(now)
+	// One success is assumed, so that a single failure doesn't condemn.
+	return se.failed / (se.failed + se.succeeded + 1)
+}
+
+func (se *server) fadeCounts(now time.Time) {
+	kept := math.Exp2(-now.Sub(se.countedAt).Seconds() / failureHalfLife.Seconds())
+	se.failed *= kept
+	se.succeeded *= kept
+	se.countedAt = now
+}
+
+// succeed records an answer.
+func (se *server) succeed(now time.Time) {
+	se.fadeCounts(now)
+	se.succeeded++
+	se.failures, se.ejection = 0, 0
+}
+
+// fail records a failed request. It reports whether the server should be
+// ejected.
+func (se *server) fail(now time.Time) bool {
+	se.fadeCounts(now)
+	se.failed++
+	se.failures++
+	return se.failures >= failuresToEject
+}
+
+// eject keeps requests away for a time that doubles.
+func (se *server) eject(now time.Time) {
+	se.ejection = min(max(2*se.ejection, firstEjection), longestEjection)
+	se.until = now.Add(se.ejection)
+	se.failures = 0
+}
+
+// fade halves a span for each half-life that passed.
+func fade(span, passed, halfLife time.Duration) time.Duration {
+	if span == 0 || passed <= 0 {
+		return span
+	}
+	return time.Duration(float64(span) * math.Exp2(-passed.Seconds()/halfLife.Seconds()))
+}
