Follow the store by one watch and a paced read; hosts tell each other what it says

Ruled out: a shorter watch of the configuration, which is a priced call each time and hangs in the same way.

--- a/cmd/mangopaddle/gateway.go
+++ b/cmd/mangopaddle/gateway.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -60,10 +61,31 @@
 	defer stop()
 	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	select {
-	case <-ctx.Done():
-		return errors.Trace(ga.Drain(context.WithoutCancel(ctx)))
-	case err := <-ga.Failed():
-		return errors.Trace(err)
+	return gc.untilStopped(ctx, ga)
+}
+
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 2 * time.Second
+
+// untilStopped waits for a signal to stop, and reads the settings again when they
+// change.
+func (gc *gatewayCommand) untilStopped(ctx context.Context, ga *gateway.Gateway) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ga.Drain(context.WithoutCancel(ctx)))
+		case err := <-ga.Failed():
+			return errors.Trace(err)
+		case <-hangups:
+			ga.Reload(gc.settings, "SIGHUP")
+		case <-ticker.C:
+			ga.Reload(gc.settings, "changed file")
+		}
 	}
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -16,22 +18,18 @@
 )
 
 const (
-	// configurationWait is how long a watch of the configuration waits for a
-	// change; each watch is a priced call.
-	configurationWait = 10 * time.Second
-	// listInterval is the pause between two reads of the changes of the list. With
-	// the call itself and one retry it stays well within the time in which
-	// leaving servers must get no more work.
-	listInterval = 1200 * time.Millisecond
-	// listWait lets a read of the list return at once if nothing changed.
-	listWait = time.Millisecond
+	// watchWait is how long a watch waits for a change; each watch is a priced
+	// call.
+	watchWait = 10 * time.Second
 	// callTimeout bounds a call beyond its own wait.
-	callTimeout = 1200 * time.Millisecond
+	callTimeout = time.Second
 	// firstPause and longestPause bound the jittered pause after a failed call.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 800 * time.Millisecond
+	longestPause = 500 * time.Millisecond
 	// expiryInterval is how often servers that were kept are looked at.
 	expiryInterval = 200 * time.Millisecond
+	// defaultInterval is the time between two reads of the list.
+	defaultInterval = 1800 * time.Millisecond
 )
 
 // Store is what the follower needs of the platform's store.
@@ -48,8 +46,14 @@
 	store    Store
 	view     *View
 	changed  func(*Snapshot)
+	interval time.Duration
 	messages chan func(*belief) bool
 	done     <-chan struct{}
+	// revision is that behind which the watch goes on; zero until the list was
+	// read.
+	revision atomic.Uint64
+	// again asks for the list at once.
+	again chan struct{}
 
 	mu          sync.Mutex
 	unavailable map[string]time.Time // by kind of call, since when
@@ -74,6 +78,11 @@
 	return func(fo *Follower) { fo.changed = changed }
 }
 
+// WithInterval sets the time between two reads of the list.
+func WithInterval(interval time.Duration) Option {
+	return func(fo *Follower) { fo.interval = interval }
+}
+
 // New starts following a store and returns a function that stops it.
 func New(store Store, view *View, opts ...Option) (*Follower, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -85,6 +94,8 @@
 		changed:     func(*Snapshot) {},
 		messages:    make(chan func(*belief) bool),
 		done:        ctx.Done(),
+		interval:    defaultInterval,
+		again:       make(chan struct{}, 1),
 		unavailable: map[string]time.Time{},
 	}
 	for _, opt := range opts {
@@ -93,8 +104,8 @@
 	be := newBelief(fo.logger)
 	var group sync.WaitGroup
 	group.Go(func() { fo.hold(ctx, be) })
-	group.Go(func() { fo.followConfiguration(ctx) })
-	group.Go(func() { fo.followServers(ctx) })
+	group.Go(func() { fo.watch(ctx) })
+	group.Go(func() { fo.read(ctx) })
 	return fo, func() {
 		cancel()
 		group.Wait()
@@ -132,87 +143,127 @@
 	}
 }
 
-// followConfiguration watches the operator's keys.
-func (fo *Follower) followConfiguration(ctx context.Context) {
-	var revision mp.Revision
+// watch brings changes as they happen. It is not relied on: a watch may be cut,
+// hang or miss changes that the next read of the list finds.
+func (fo *Follower) watch(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		page, err := fo.readConfiguration(ctx, revision)
+		after := fo.revision.Load()
+		if after == 0 {
+			fo.sleep(ctx, firstPause)
+			continue
+		}
+		page, err := fo.watchOnce(ctx, mp.Revision(after))
 		if err != nil {
 			failures++
-			if errors.Is(err, platform.ErrCompacted) {
-				revision = 0
-			}
-			fo.noteFailure("configuration", err)
+			fo.noteFailure("watch", err)
 			fo.pause(ctx, failures)
 			continue
 		}
 		failures = 0
-		fo.noteAnswer("configuration")
-		revision = max(revision, page.Revision)
-		fo.offer(page)
+		fo.noteAnswer("watch")
+		fo.advance(page.Revision)
+		fo.take(page)
 	}
 }
 
-func (fo *Follower) offer(page platform.Page) {
-	data, err := configurationIn(page.Items)
-	if err != nil {
-		fo.logger.Error().Str("event", "configuration_refused").Err(err).Msg("the configuration in force stays")
-		return
+// watchOnce waits for one change. History that was dropped is read again as a
+// list.
+func (fo *Follower) watchOnce(ctx context.Context, after mp.Revision) (platform.Page, error) {
+	waiting, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
+	page, err := fo.store.Watch(waiting, "", after, watchWait)
+	if errors.Is(err, platform.ErrCompacted) {
+		fo.revision.Store(0)
+		select {
+		case fo.again <- struct{}{}:
+		default:
+		}
 	}
-	if data == nil {
-		return
+	return page, err
+}
+
+// advance moves the revision behind which the watch goes on.
+func (fo *Follower) advance(revision mp.Revision) {
+	for {
+		known := fo.revision.Load()
+		if uint64(revision) <= known || fo.revision.CompareAndSwap(known, uint64(revision)) {
+			return
+		}
 	}
-	fo.post(func(be *belief) bool { return be.adopt(fo.clock.Now(), data, FromStore) })
 }
 
-func (fo *Follower) readConfiguration(ctx context.Context, revision mp.Revision) (platform.Page, error) {
-	if revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return fo.store.List(ctx, platform.OperatorPrefix)
+// take posts the changes of a watch.
+func (fo *Follower) take(page platform.Page) {
+	servers := platform.Page{Revision: page.Revision}
+	for _, it := range page.Items {
+		if strings.HasPrefix(string(it.Key), platform.ServersPrefix) {
+			servers.Items = append(servers.Items, it)
+		}
+	}
+	fo.offer(page)
+	if len(servers.Items) > 0 {
+		fo.post(func(be *belief) bool { return be.applyServers(fo.clock.Now(), servers) })
 	}
-	ctx, cancel := context.WithTimeout(ctx, configurationWait+callTimeout)
-	defer cancel()
-	return fo.store.Watch(ctx, platform.OperatorPrefix, revision, configurationWait)
 }
 
-// followServers reads the changes of the list of backend servers.
-func (fo *Follower) followServers(ctx context.Context) {
-	var revision mp.Revision
+// read reads the list of backend servers at an interval. The store's revision in
+// the answer tells whether the configuration may have changed too.
+func (fo *Follower) read(ctx context.Context) {
+	var configuration mp.Revision // that the configuration was read at
 	failures := 0
 	for ctx.Err() == nil {
-		page, err := fo.readServers(ctx, revision)
+		revision, err := fo.readOnce(ctx, configuration)
+		configuration = max(configuration, revision)
 		if err != nil {
 			failures++
-			if errors.Is(err, platform.ErrCompacted) {
-				revision = 0
-			}
-			fo.noteFailure("servers", err)
+			fo.noteFailure("list", err)
 			fo.pause(ctx, failures)
 			continue
 		}
 		failures = 0
-		fo.noteAnswer("servers")
-		whole := revision == 0
-		revision = max(revision, page.Revision)
-		fo.post(func(be *belief) bool {
-			if whole {
-				return be.replaceServers(fo.clock.Now(), page)
-			}
-			return be.applyServers(fo.clock.Now(), page)
-		})
-		fo.sleep(ctx, listInterval)
+		fo.noteAnswer("list")
+		select {
+		case <-ctx.Done():
+		case <-fo.again:
+		case <-fo.clock.After(fo.interval):
+		}
 	}
 }
 
-func (fo *Follower) readServers(ctx context.Context, revision mp.Revision) (platform.Page, error) {
+// readOnce reads the list, and the configuration if the store has changed since
+// a revision. It returns the revision that the configuration was read at.
+func (fo *Follower) readOnce(ctx context.Context, configuration mp.Revision) (mp.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if revision == 0 {
-		return fo.store.List(ctx, platform.ServersPrefix)
+	asked := fo.clock.Now()
+	servers, err := fo.store.List(ctx, platform.ServersPrefix)
+	if err != nil {
+		return configuration, errors.Trace(err)
+	}
+	fo.advance(servers.Revision)
+	fo.post(func(be *belief) bool { return be.replaceServers(asked, servers) })
+	if servers.Revision <= configuration {
+		return configuration, nil
+	}
+	operator, err := fo.store.List(ctx, platform.OperatorPrefix)
+	if err != nil {
+		return configuration, errors.Trace(err)
+	}
+	fo.offer(operator)
+	return operator.Revision, nil
+}
+
+func (fo *Follower) offer(page platform.Page) {
+	data, err := configurationIn(page.Items)
+	if err != nil {
+		fo.logger.Error().Str("event", "configuration_refused").Err(err).Msg("the configuration in force stays")
+		return
 	}
-	return fo.store.Watch(ctx, platform.ServersPrefix, revision, listWait)
+	if data == nil {
+		return
+	}
+	fo.post(func(be *belief) bool { return be.adopt(fo.clock.Now(), data, FromStore) })
 }
 
 // pause waits after failed calls, with jitter, so that hosts don't return in
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
+	"github.com/mangopaddle/mangopaddle/peer"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/retry"
@@ -48,6 +49,11 @@
 	placerMu sync.Mutex
 	placer   *placement.Placer
 
+	peers *peer.Node
+
+	reloadMu     sync.Mutex
+	settingsData []byte // of the file that was read last
+
 	budgetMu sync.Mutex
 	budgets  map[mp.ServiceName]*retry.Window
 
@@ -111,6 +117,13 @@
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
 	ga.every(pruneInterval, ga.backends.Prune)
+	peers, stopPeers, err := peer.New(peer.Address(ga.settings.Peers), addresses(ga.settings.Seeds), ga,
+		peer.WithClock(ga.clock), peer.WithLogger(ga.logger))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ga.peers = peers
+	ga.addCleanup(stopPeers)
 
 	callers := newServer(http.HandlerFunc(ga.serveCaller))
 	ga.callers = callers
