Place by expected time and by what a choice takes from others; hosts share loads

Change: one cost for all engines: expected time by unread tokens of this host and, over UDP load sheets, of the others, times a learned slowness, plus ten readings of shared parts where the engine isn't their home, plus bytes that cross regions.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,7 +56,7 @@
 		return ch, refusal
 	}
 	re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
-		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Int("rank", ch.Rank).
+		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.Home).
 		Int("in_flight", ch.InFlight).Int64("unread", int64(ch.Unread)).Dur("expected_ms", ch.Expected).
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", now.Sub(re.snapshot.ListAt)).
 		Dur("left_ms", re.left(now)).Msg("backend server chosen")
--- a/gateway/brain.go
+++ b/gateway/brain.go
@@ -41,3 +41,22 @@
 func (ga *Gateway) Urgent() bool {
 	return ga.view.Load().Version() == 0 || ga.follower.Unavailable()
 }
+
+// ownLoads returns what this host has outstanding at the backend servers.
+func (ga *Gateway) ownLoads() map[mp.ServerID]peer.Load {
+	ga.placerMu.Lock()
+	defer ga.placerMu.Unlock()
+	ga.sheets.Expire(ga.clock.Now())
+	loads := map[mp.ServerID]peer.Load{}
+	for id, unread := range ga.placer.Unread() {
+		loads[id] = peer.Load{Unread: unread}
+	}
+	return loads
+}
+
+// takeSheet takes another host's loads.
+func (ga *Gateway) takeSheet(sheet peer.Sheet) {
+	ga.placerMu.Lock()
+	defer ga.placerMu.Unlock()
+	ga.sheets.Add(ga.clock.Now(), sheet)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,7 @@
 
 	placerMu sync.Mutex
 	placer   *placement.Placer
+	sheets   *peer.Sheets
 
 	peers *peer.Node
 
@@ -92,13 +93,14 @@
 		logger:   zerolog.Nop(),
 		view:     follow.NewView(),
 		counters: newCounters(),
-		placer:   placement.New(),
+		sheets:   peer.NewSheets(),
 		budgets:  map[mp.ServiceName]*retry.Window{},
 		failed:   make(chan error, 4),
 	}
 	for _, opt := range opts {
 		opt(ga)
 	}
+	ga.placer = placement.New(placement.WithOthers(ga.sheets.Unread))
 	if err := ga.start(); err != nil {
 		ga.close()
 		return nil, nil, errors.Trace(err)
@@ -124,6 +126,12 @@
 	}
 	ga.peers = peers
 	ga.addCleanup(stopPeers)
+	stopLoads, err := peer.NewLoads(ga.settings.Host, ga.settings.Loads, peers.Others, ga.ownLoads, ga.takeSheet,
+		peer.WithLoadsClock(ga.clock), peer.WithLoadsLogger(ga.logger))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ga.addCleanup(stopLoads)
 
 	callers := newServer(http.HandlerFunc(ga.serveCaller))
 	ga.callers = callers
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -190,6 +190,11 @@
 	ga.counters.answered(re.route, status, took)
 	line := re.log(ga.logger.Info(), "answered").Str("server", string(server)).Int("status", status).
 		Int("attempts", re.attempts).Dur("took_ms", took)
+	if st := re.stream; st != nil && !st.firstAt.IsZero() {
+		line = line.Str("route", string(re.route.Name)).Int("events", st.events).
+			Dur("first_ms", st.firstAt.Sub(re.arrived)).Dur("target_ms", re.route.Target).
+			Dur("longest_gap_ms", st.longestGap).Dur("gap_target_ms", re.route.LongestGap)
+	}
 	if err != nil {
 		line = line.Str("cause", err.Error())
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,6 +77,7 @@
 		Service: re.service,
 		Prompt:  re.caller.Prompt,
 		Tokens:  re.caller.Tokens,
+		Bytes:   len(re.body),
 		Target:  re.route.Target,
 		Exclude: re.tried,
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -31,6 +31,8 @@
 	Readiness string `json:"readiness"`
 	Peers     string `json:"peers"`
 	Metrics   string `json:"metrics"`
+	// Loads is the UDP address for load sheets; all hosts use the same port.
+	Loads string `json:"loads"`
 	// Seeds are addresses of other hosts; some may be stale.
 	Seeds []string `json:"seeds"`
 	// Store is the address of the platform's store.
@@ -86,6 +88,7 @@
 		{"readiness", se.Readiness},
 		{"peers", se.Peers},
 		{"metrics", se.Metrics},
+		{"loads", se.Loads},
 		{"store", se.Store},
 	}
 	for _, ad := range addresses {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -29,6 +29,20 @@
 	events int
 	// from is the event that the caller itself resumes behind.
 	from string
+	// firstAt and lastAt are when events were passed on, longestGap the longest
+	// time between two.
+	firstAt, lastAt time.Time
+	longestGap      time.Duration
+}
+
+// passed records that events were passed on at a time.
+func (st *streamState) passed(now time.Time) {
+	if st.firstAt.IsZero() {
+		st.firstAt = now
+	} else {
+		st.longestGap = max(st.longestGap, now.Sub(st.lastAt))
+	}
+	st.lastAt = now
 }
 
 // lastEvent returns the event behind which the stream is to go on; empty for its
@@ -94,6 +108,7 @@
 		}
 		rest = rest[end:]
 	}
+	re.stream.passed(ga.clock.Now())
 	return ga.write(re, events)
 }
 
--- a/peer/members.go
+++ b/peer/members.go
@@ -76,6 +76,9 @@
 	return sample[:min(len(sample), sampleSize)]
 }
 
+// All returns all other hosts that are known.
+func (me *Members) All(now time.Time) []Address { return me.known(now) }
+
 // Count returns how many other hosts were heard of lately.
 func (me *Members) Count(now time.Time) int {
 	me.expire(now)
--- a/peer/node.go
+++ b/peer/node.go
@@ -99,6 +99,13 @@
 	no.members.SetSeeds(seeds)
 }
 
+// Others returns the addresses of all other hosts that are known.
+func (no *Node) Others() []Address {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.members.All(no.clock.Now())
+}
+
 // Count returns how many other hosts were heard of lately.
 func (no *Node) Count() int {
 	no.mu.Lock()
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"slices"
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -14,55 +13,73 @@
 	// regions is worth the bytes that cross them: the memory of one region does
 	// not hold a copy of all parts of such a class.
 	heavyShared mp.Tokens = 1500
-	// homes is how many engines of a part's order are considered.
-	homes = 3
+	// againCost is how many times the reading of shared parts counts where they
+	// are not expected in memory: it delays others, and takes memory from them.
+	againCost = 10
+	// regionCost is what each byte that crosses regions counts.
+	regionCost = 8 * time.Microsecond
 )
 
-// chooseEngine returns the engine where the work is expected to begin first,
-// among the first engines in the order of its shared part.
+// chooseEngine returns the engine with the least cost: the expected time until
+// the work begins, and what it takes from others.
 func (pl *Placer) chooseEngine(now time.Time, wo *Work, candidates []*server) Choice {
 	shared, key := wo.shared()
+	home := homeOf(candidates, key, shared)
+	var best Choice
+	var least time.Duration
+	for _, se := range candidates {
+		ch := pl.expect(now, wo, se, shared, se == home)
+		cost := ch.Expected + pl.spent(wo, se, ch, shared)
+		if best.Server.ID == "" || cost < least {
+			best, least = ch, cost
+		}
+	}
+	return best
+}
+
+// homeOf returns the engine where all hosts look for a shared part first; nil if
+// there is no such part.
+func homeOf(candidates []*server, key uint64, shared mp.Tokens) *server {
 	if key == 0 {
-		return pl.leastDelayed(now, wo, inRegion(candidates))
+		return nil
 	}
 	scope := candidates
 	if shared <= heavyShared {
 		scope = inRegion(candidates)
 	}
-	ranked := rank(scope, key)
-	best := expect(now, wo, ranked[0], 0, shared)
-	for ix := 1; ix < min(homes, len(ranked)); ix++ {
-		other := expect(now, wo, ranked[ix], ix, shared)
-		if other.Expected < best.Expected {
-			best = other
+	home := scope[0]
+	for _, se := range scope[1:] {
+		if by := cmp.Compare(mix(se.hash^key), mix(home.hash^key)); by > 0 || (by == 0 && se.ID < home.ID) {
+			home = se
 		}
 	}
-	return best
+	return home
 }
 
-// expect returns the choice of an engine by its rank for the shared parts. Only
-// the first engine is taken to have them in memory.
-func expect(now time.Time, wo *Work, se *server, rank int, shared mp.Tokens) Choice {
+// spent returns what the choice costs others.
+func (pl *Placer) spent(wo *Work, se *server, ch Choice, shared mp.Tokens) time.Duration {
+	var cost time.Duration
+	if !ch.Home {
+		cost += againCost * readTime(shared)
+	}
+	if se.Distance == OtherRegion {
+		cost += time.Duration(wo.Bytes) * regionCost
+	}
+	return cost
+}
+
+// expect returns the choice of an engine with the time until the first event.
+// Only the home of the shared parts is taken to have them in memory.
+func (pl *Placer) expect(now time.Time, wo *Work, se *server, shared mp.Tokens, home bool) Choice {
 	unread := wo.Tokens
-	if rank == 0 {
+	if home {
 		unread -= shared
 	}
 	unread = max(0, unread)
-	expected := roundTrip[se.Distance] + readTime(se.unread+unread) + se.currentDelay(now) +
+	reading := stepTime + readTime(se.unread+pl.others(se.ID)+unread)
+	expected := roundTrip[se.Distance] + time.Duration(float64(reading)*se.currentSlowness(now)) +
 		time.Duration(se.failureShare(now)*float64(failureCost))
-	return Choice{Server: se.Server, Expected: expected, Rank: rank, InFlight: se.inFlight, Unread: unread}
-}
-
-// leastDelayed returns the engine with the least expected time for a prompt
-// without shared parts.
-func (pl *Placer) leastDelayed(now time.Time, wo *Work, candidates []*server) Choice {
-	best := expect(now, wo, candidates[0], 0, 0)
-	for _, se := range candidates[1:] {
-		if other := expect(now, wo, se, 0, 0); other.Expected < best.Expected {
-			best = other
-		}
-	}
-	return best
+	return Choice{Server: se.Server, Expected: expected, Home: home, InFlight: se.inFlight, Unread: unread, reading: reading}
 }
 
 // inRegion returns the servers of the host's region, or all if it has none.
@@ -79,19 +96,6 @@
 	return near
 }
 
-// rank orders servers by rendezvous hashing for a key. Hosts with the same list
-// get the same order, and a server that leaves moves only its own keys.
-func rank(servers []*server, key uint64) []*server {
-	ranked := slices.Clone(servers)
-	slices.SortFunc(ranked, func(a, b *server) int {
-		if by := cmp.Compare(mix(b.hash^key), mix(a.hash^key)); by != 0 {
-			return by
-		}
-		return cmp.Compare(a.ID, b.ID)
-	})
-	return ranked
-}
-
 // mix spreads the bits of a hash, as the finaliser of MurmurHash3 does.
 func mix(value uint64) uint64 {
 	value ^= value >> 33
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -28,6 +28,8 @@
 	Prompt []Part
 	// Tokens is the length of the whole prompt.
 	Tokens mp.Tokens
+	// Bytes is the length of the request's body.
+	Bytes int
 	// Target is the time until the answer, or until the first event.
 	Target time.Duration
 	// Exclude are servers that the request must not go to.
@@ -52,12 +54,16 @@
 	Server Server
 	// Expected is the time until the first event or the answer.
 	Expected time.Duration
-	// Rank is the place of the server in the order of the prompt's shared part.
-	Rank int
+	// Home says that the shared parts of the prompt are expected in the engine's
+	// memory.
+	Home bool
 	// InFlight is how many requests of this host the server had.
 	InFlight int
 	// Unread counts the prompt tokens that the request adds to the engine's queue.
 	Unread mp.Tokens
+	// reading is the part of the expected time that the engine's reading takes at
+	// the usual speed.
+	reading time.Duration
 }
 
 // Outcome is how a request at a backend server ended.
@@ -82,6 +88,7 @@
 // Placer chooses backend servers. It is not safe for concurrent use.
 type Placer struct {
 	random   *rand.Rand
+	others   func(mp.ServerID) mp.Tokens
 	servers  map[mp.ServerID]*server
 	services map[mp.ServiceName][]*server
 }
@@ -94,10 +101,17 @@
 	return func(pl *Placer) { pl.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithOthers sets what other hosts have outstanding at a server, in prompt
+// tokens.
+func WithOthers(others func(mp.ServerID) mp.Tokens) Option {
+	return func(pl *Placer) { pl.others = others }
+}
+
 // New returns a placer without servers.
 func New(opts ...Option) *Placer {
 	pl := &Placer{
 		random:   rand.New(rand.NewPCG(1, 1)),
+		others:   func(mp.ServerID) mp.Tokens { return 0 },
 		servers:  map[mp.ServerID]*server{},
 		services: map[mp.ServiceName][]*server{},
 	}
@@ -198,7 +212,9 @@
 		return
 	}
 	se.unread = max(0, se.unread-ch.Unread)
-	se.observeDelay(now, took-roundTrip[se.Distance]-readTime(ch.Unread))
+	if se.Engine {
+		se.observeSpeed(now, took-roundTrip[se.Distance], ch.reading)
+	}
 }
 
 // End records how the work ended. Began says whether its first event came.
@@ -221,7 +237,7 @@
 	case Unreachable, Misplaced:
 		se.until = now.Add(unreachableTime)
 	case Rejected:
-		se.observeDelay(now, time.Second)
+		se.until = now.Add(rejectedTime)
 	case Cancelled:
 	}
 }
@@ -244,3 +260,14 @@
 func readTime(tokens mp.Tokens) time.Duration {
 	return time.Duration(float64(tokens) / initialReadRate * float64(time.Second))
 }
+
+// Unread returns the prompt tokens that this host has outstanding at engines.
+func (pl *Placer) Unread() map[mp.ServerID]mp.Tokens {
+	unread := map[mp.ServerID]mp.Tokens{}
+	for id, se := range pl.servers {
+		if se.unread > 0 {
+			unread[id] = se.unread
+		}
+	}
+	return unread
+}
--- a/placement/server.go
+++ b/placement/server.go
@@ -32,16 +32,21 @@
 	// initialReadRate is how fast a model engine is taken to read prompts before
 	// any of its answers was seen.
 	initialReadRate = 40_000.0 // tokens/s
-	// delayHalfLife is how fast an observed delay is forgotten: queues of prompts
-	// come and go within a second or two.
-	delayHalfLife = time.Second
-	// delayWeight is the weight of a new observation of the delay.
-	delayWeight = 0.4
+	// stepTime is the least time until a first event.
+	stepTime = 20 * time.Millisecond
+	// slownessHalfLife is how fast an observed slowness is forgotten, so that an
+	// engine that was slow is tried again.
+	slownessHalfLife = 2 * time.Second
+	// slownessWeight is the weight of a new observation.
+	slownessWeight = 0.3
+	mostSlowness   = 10.0
 
 	// failuresToEject is how many failures in a row take a server out.
 	failuresToEject = 3
 	firstEjection   = time.Second
 	longestEjection = 8 * time.Second
+	// rejectedTime is how long a server that was full is avoided.
+	rejectedTime = 200 * time.Millisecond
 	// unreachableTime is how long a server that could not be reached is avoided.
 	unreachableTime = time.Second
 	// failureHalfLife is how fast the share of failed requests is forgotten.
@@ -63,10 +68,10 @@
 	inFlight int
 	// unread counts the prompt tokens of own requests without a first event.
 	unread mp.Tokens
-	// delay is how much later than its own reading a first event came, a running
-	// mean at the time delayAt.
-	delay   time.Duration
-	delayAt time.Time
+	// slowness is how many times longer than expected the reading took, beyond
+	// one, a running mean at the time slownessAt.
+	slowness   float64
+	slownessAt time.Time
 
 	// failed and succeeded are fading counts of outcomes at the time countedAt.
 	failed    float64
@@ -87,16 +92,17 @@
 	return now.Before(se.until)
 }
 
-// currentDelay returns the observed delay, faded by its age.
-func (se *server) currentDelay(now time.Time) time.Duration {
-	return fade(se.delay, now.Sub(se.delayAt), delayHalfLife)
+// currentSlowness returns by what the expected reading is multiplied.
+func (se *server) currentSlowness(now time.Time) float64 {
+	return 1 + se.slowness*math.Exp2(-now.Sub(se.slownessAt).Seconds()/slownessHalfLife.Seconds())
 }
 
-// observeDelay takes a delay beyond the reading of the prompt.
-func (se *server) observeDelay(now time.Time, delay time.Duration) {
-	known := se.currentDelay(now)
-	se.delay = known + time.Duration(delayWeight*float64(max(0, delay)-known))
-	se.delayAt = now
+// observeSpeed takes how long a reading took and how long it was expected to.
+func (se *server) observeSpeed(now time.Time, took, reading time.Duration) {
+	known := se.currentSlowness(now) - 1
+	observed := float64(took)/float64(reading) - 1
+	se.slowness = known + slownessWeight*(min(max(0, observed), mostSlowness)-known)
+	se.slownessAt = now
 }
 
 // failureShare returns the share of recent requests that failed.
@@ -135,11 +141,3 @@
 	se.until = now.Add(se.ejection)
 	se.failures = 0
 }
-
-// fade halves a span for each half-life that passed.
-func fade(span, passed, halfLife time.Duration) time.Duration {
-	if span == 0 || passed <= 0 {
-		return span
-	}
-	return time.Duration(float64(span) * math.Exp2(-passed.Seconds()/halfLife.Seconds()))
-}
