One host of a data centre reads the store for the others; load sheets by data centre

Ruled out: a fixed reader, which is one point of failure.

Change: hosts tell their data centre by datagram how new their list is; who comes first in the order reads, the others read when the list gets too old. Load sheets go to the data centre; its first host sends the sum to one host of each other.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -109,6 +109,16 @@
 	return changed
 }
 
+// Confirm notes that the list of a revision was current at a time. It reports
+// whether that is the known list.
+func (di *Directory) Confirm(at time.Time, revision mp.Revision) bool {
+	if revision != di.revision || !at.After(di.readAt) {
+		return false
+	}
+	di.readAt = at
+	return true
+}
+
 func (di *Directory) change(now time.Time, se Server) bool {
 	known, ok := di.servers[se.ID]
 	if se.State == Gone {
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,6 +21,12 @@
 	// watchWait is how long a watch waits for a change; each watch is a priced
 	// call.
 	watchWait = 10 * time.Second
+	// watchPause is how often a host that doesn't watch looks whether it should.
+	watchPause = 300 * time.Millisecond
+	// rankPause is how much older the list may be for each host that reads the
+	// store before this one, and mostRank bounds them.
+	rankPause = 150 * time.Millisecond
+	mostRank  = 4
 	// callTimeout bounds a call beyond its own wait.
 	callTimeout = time.Second
 	// firstPause and longestPause bound the jittered pause after a failed call.
@@ -28,6 +34,8 @@
 	longestPause = 500 * time.Millisecond
 	// expiryInterval is how often servers that were kept are looked at.
 	expiryInterval = 200 * time.Millisecond
+	// leastWait keeps a failing reader from spinning.
+	leastWait = 20 * time.Millisecond
 	// defaultInterval is the time between two reads of the list.
 	defaultInterval = 1800 * time.Millisecond
 )
@@ -47,6 +55,7 @@
 	view     *View
 	changed  func(*Snapshot)
 	interval time.Duration
+	rank     func() int
 	messages chan func(*belief) bool
 	done     <-chan struct{}
 	// revision is that behind which the watch goes on; zero until the list was
@@ -83,6 +92,13 @@
 	return func(fo *Follower) { fo.interval = interval }
 }
 
+// WithRank sets a function that returns how many live hosts of the data centre
+// read the store before this one and tell it what they read. Without one the
+// host reads for itself.
+func WithRank(rank func() int) Option {
+	return func(fo *Follower) { fo.rank = rank }
+}
+
 // New starts following a store and returns a function that stops it.
 func New(store Store, view *View, opts ...Option) (*Follower, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -95,6 +111,7 @@
 		messages:    make(chan func(*belief) bool),
 		done:        ctx.Done(),
 		interval:    defaultInterval,
+		rank:        func() int { return 0 },
 		again:       make(chan struct{}, 1),
 		unavailable: map[string]time.Time{},
 	}
@@ -149,8 +166,8 @@
 	failures := 0
 	for ctx.Err() == nil {
 		after := fo.revision.Load()
-		if after == 0 {
-			fo.sleep(ctx, firstPause)
+		if after == 0 || fo.rank() > 0 {
+			fo.sleep(ctx, watchPause)
 			continue
 		}
 		page, err := fo.watchOnce(ctx, mp.Revision(after))
@@ -223,10 +240,30 @@
 		}
 		failures = 0
 		fo.noteAnswer("list")
+		fo.untilOld(ctx)
+	}
+}
+
+// untilOld waits until the list is old enough to be read again, or until it is
+// asked for. Hosts that come later in the order wait a little longer: they need
+// not read if another host tells them that nothing has changed.
+func (fo *Follower) untilOld(ctx context.Context) {
+	for {
+		age := fo.clock.Since(fo.view.Load().ListAt)
+		rank := min(fo.rank(), mostRank)
+		wait := fo.interval - age
+		if rank > 0 {
+			wait += fo.interval/2 + time.Duration(rank)*rankPause
+		}
+		if wait <= 0 {
+			return
+		}
 		select {
 		case <-ctx.Done():
+			return
 		case <-fo.again:
-		case <-fo.clock.After(fo.interval):
+			return
+		case <-fo.clock.After(max(wait, leastWait)):
 		}
 	}
 }
@@ -315,6 +352,15 @@
 	fo.post(func(be *belief) bool { return be.adopt(fo.clock.Now(), data, FromPeer) })
 }
 
+// ConfirmServers takes another host's word that the list of a revision was
+// current at a time.
+func (fo *Follower) ConfirmServers(at time.Time, revision mp.Revision) {
+	fo.post(func(be *belief) bool {
+		be.directory.Confirm(at, revision)
+		return false
+	})
+}
+
 // OfferServers takes another host's list that was current at a time.
 func (fo *Follower) OfferServers(at time.Time, revision mp.Revision, servers []directory.Server) {
 	fo.post(func(be *belief) bool { return be.takeServers(at, revision, servers) })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,9 +63,10 @@
 	// request any more.
 	stopping, closing atomic.Bool
 
-	callers  *http.Server
-	cleanups []func()
-	failed   chan error
+	startedAt time.Time
+	callers   *http.Server
+	cleanups  []func()
+	failed    chan error
 }
 
 // Option changes a gateway under construction.
@@ -93,13 +94,14 @@
 		logger:   zerolog.Nop(),
 		view:     follow.NewView(),
 		counters: newCounters(),
-		sheets:   peer.NewSheets(),
+		sheets:   peer.NewSheets(settings.Host),
 		budgets:  map[mp.ServiceName]*retry.Window{},
 		failed:   make(chan error, 4),
 	}
 	for _, opt := range opts {
 		opt(ga)
 	}
+	ga.startedAt = ga.clock.Now()
 	ga.placer = placement.New(placement.WithOthers(ga.sheets.Unread))
 	if err := ga.start(); err != nil {
 		ga.close()
@@ -115,18 +117,20 @@
 	store, closeStore := platform.New(ga.settings.Store)
 	ga.addCleanup(closeStore)
 	follower, stopFollower := follow.New(store, ga.view,
-		follow.WithClock(ga.clock), follow.WithLogger(ga.logger), follow.WithChanged(ga.updateServers))
+		follow.WithClock(ga.clock), follow.WithLogger(ga.logger), follow.WithChanged(ga.updateServers),
+		follow.WithRank(ga.rank), follow.WithInterval(ga.settings.readInterval()))
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
 	ga.every(pruneInterval, ga.backends.Prune)
-	peers, stopPeers, err := peer.New(peer.Address(ga.settings.Peers), addresses(ga.settings.Seeds), ga,
+	self := peer.Member{Address: peer.Address(ga.settings.Peers), DataCentre: ga.settings.DataCentre}
+	peers, stopPeers, err := peer.New(self, addresses(ga.settings.Seeds), ga,
 		peer.WithClock(ga.clock), peer.WithLogger(ga.logger))
 	if err != nil {
 		return errors.Trace(err)
 	}
 	ga.peers = peers
 	ga.addCleanup(stopPeers)
-	stopLoads, err := peer.NewLoads(ga.settings.Host, ga.settings.Loads, peers.Others, ga.ownLoads, ga.takeSheet,
+	stopLoads, err := peer.NewLoads(ga.settings.Host, self, ga.settings.Loads, peers, ga,
 		peer.WithLoadsClock(ga.clock), peer.WithLoadsLogger(ga.logger))
 	if err != nil {
 		return errors.Trace(err)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,6 +39,10 @@
 	Store string `json:"store"`
 	// StopTime is the time from SIGTERM to SIGKILL.
 	StopTime mp.Duration `json:"stop_time"`
+	// ConfigTime and DrainTime bound how late a change of the configuration and a
+	// leaving backend server may come into force.
+	ConfigTime mp.Duration `json:"config_time"`
+	DrainTime  mp.Duration `json:"drain_time"`
 	// RetryRatio, RetryWindow and RetrySlack bound the retries of all hosts.
 	RetryRatio  float64     `json:"retry_ratio"`
 	RetryWindow mp.Duration `json:"retry_window"`
@@ -59,7 +63,13 @@
 
 // DecodeSettings reads and checks settings.
 func DecodeSettings(data []byte) (Settings, error) {
-	se := Settings{RetryRatio: defaultRetryRatio, RetryWindow: mp.Duration(defaultRetryWindow), StopTime: mp.Duration(defaultStopTime)}
+	se := Settings{
+		StopTime:    mp.Duration(defaultStopTime),
+		ConfigTime:  mp.Duration(defaultConfigTime),
+		DrainTime:   mp.Duration(defaultDrainTime),
+		RetryRatio:  defaultRetryRatio,
+		RetryWindow: mp.Duration(defaultRetryWindow),
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&se); err != nil {
@@ -72,8 +82,18 @@
 	defaultRetryRatio  = 0.1
 	defaultRetryWindow = 10 * time.Second
 	defaultStopTime    = 8 * time.Second
+	defaultConfigTime  = 3 * time.Second
+	defaultDrainTime   = 3 * time.Second
+	// readPart is the part of the shortest bound after which the list is read
+	// again: twice that, and a call, still fit.
+	readPart = 0.37
 )
 
+// readInterval returns the time between two reads of the list of backend servers.
+func (se Settings) readInterval() time.Duration {
+	return time.Duration(readPart * float64(min(se.ConfigTime, se.DrainTime)))
+}
+
 // Check returns what is wrong with the settings, in one error.
 func (se Settings) Check() error {
 	var faults []string
@@ -107,8 +127,13 @@
 	if se.RetryWindow <= 0 {
 		add("retry_window", se.RetryWindow, "a positive time span")
 	}
-	if se.StopTime <= 0 {
-		add("stop_time", se.StopTime, "a positive time span")
+	for _, span := range []struct {
+		name  string
+		value mp.Duration
+	}{{"stop_time", se.StopTime}, {"config_time", se.ConfigTime}, {"drain_time", se.DrainTime}} {
+		if span.value <= 0 {
+			add(span.name, span.value, "a positive time span")
+		}
 	}
 	if len(faults) > 0 {
 		return errors.NotValidf("settings: %s:", strings.Join(faults, "; "))
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -11,21 +11,37 @@
 // Address is where a host listens for other hosts, an IP number with a port.
 type Address string
 
+// Member is a host of the deployment.
+type Member struct {
+	Address    Address         `json:"address"`
+	DataCentre mp.DataCentreID `json:"data_centre"`
+}
+
 // Knowledge is what a host tells another one.
 type Knowledge struct {
-	From Address `json:"from"`
+	From Member `json:"from"`
 	// Members are hosts that the sender has heard of lately.
-	Members []Address `json:"members,omitempty"`
-	// Version is that of the configuration in force.
-	Version mp.Version `json:"version"`
-	// ListRevision is the store's revision of the list of backend servers.
-	ListRevision mp.Revision `json:"list_revision"`
-	// ListAge is how long ago the list was known to be current; negative if the
-	// sender has none.
-	ListAge mp.Duration `json:"list_age"`
+	Members []Member `json:"members,omitempty"`
+	Freshness
 
 	// Configuration is the one in force, if the other host may need it.
 	Configuration []byte `json:"configuration,omitempty"`
 	// Servers is the list, if the other host may need it.
 	Servers []directory.Server `json:"servers,omitempty"`
 }
+
+// Freshness says how new the sender's knowledge is.
+type Freshness struct {
+	// Version is that of the configuration in force, zero for none.
+	Version mp.Version `json:"version"`
+	// ListRevision is the store's revision of the list of backend servers, zero
+	// for none.
+	ListRevision mp.Revision `json:"list_revision"`
+	// ListAge is how long ago the list was known to be current.
+	ListAge mp.Duration `json:"list_age"`
+}
+
+// Newer says whether the other host knows something that this one doesn't.
+func (fr Freshness) Newer(other Freshness) bool {
+	return fr.Version > other.Version || fr.ListRevision > other.ListRevision
+}
--- a/peer/loads.go
+++ b/peer/loads.go
@@ -16,98 +16,47 @@
 )
 
 const (
-	// sheetInterval is the time between two load sheets in a small deployment.
+	// sheetInterval is the time between two load sheets.
 	sheetInterval = 100 * time.Millisecond
-	// sheetLifetime is how long a sheet counts if no newer one comes.
-	sheetLifetime = 600 * time.Millisecond
+	// calmSheets is how many intervals pass between two sheets without loads.
+	calmSheets = 3
+	// wholeSheets is how many intervals pass between two sheets to other data
+	// centres.
+	wholeSheets = 2
 	// sheetLimit bounds a datagram.
-	sheetLimit = 8 << 10 // bytes
+	sheetLimit = 16 << 10 // bytes
 )
 
-// Load is what a host has outstanding at one backend server.
-type Load struct {
-	// Unread counts the prompt tokens of requests without a first event.
-	Unread mp.Tokens `json:"unread"`
+// Reporter is what the exchange of load sheets needs of its host.
+type Reporter interface {
+	// Report returns the loads of this host and how new its knowledge is.
+	Report() (map[mp.ServerID]Load, Freshness)
+	// ReportWhole returns the loads of the data centre; false if another host
+	// tells the other data centres.
+	ReportWhole() (map[mp.ServerID]Load, bool)
+	// Received takes a sheet of another host.
+	Received(sheet Sheet)
 }
 
-// Sheet is a host's loads at the backend servers. It is sent as a datagram; a
-// lost one is made up for by the next.
-type Sheet struct {
-	// From tells the sheets of hosts apart; Sequence orders those of one host.
-	From     mp.HostID            `json:"from"`
-	Sequence uint64               `json:"sequence"`
-	Loads    map[mp.ServerID]Load `json:"loads,omitempty"`
+// Directory names the hosts that sheets go to.
+type Directory interface {
+	// Near returns the other hosts of the data centre.
+	Near() []Address
+	// Contacts returns one host of each other data centre.
+	Contacts() []Address
 }
 
-// Sheets holds the newest sheet of each other host. It does no I/O and is not
-// safe for concurrent use.
-type Sheets struct {
-	newest map[mp.HostID]datedSheet
-	unread map[mp.ServerID]mp.Tokens
-}
-
-type datedSheet struct {
-	sheet Sheet
-	at    time.Time
-}
-
-// NewSheets returns an empty holder.
-func NewSheets() *Sheets {
-	return &Sheets{newest: map[mp.HostID]datedSheet{}, unread: map[mp.ServerID]mp.Tokens{}}
-}
-
-// Add takes a sheet. One that is older than the host's newest is dropped, unless
-// the host has started again.
-func (sh *Sheets) Add(now time.Time, sheet Sheet) {
-	known, ok := sh.newest[sheet.From]
-	if ok && sheet.Sequence <= known.sheet.Sequence && now.Sub(known.at) < sheetLifetime {
-		return
-	}
-	sh.remove(known.sheet)
-	sh.newest[sheet.From] = datedSheet{sheet: sheet, at: now}
-	for id, load := range sheet.Loads {
-		sh.unread[id] += load.Unread
-	}
-}
-
-func (sh *Sheets) remove(sheet Sheet) {
-	for id, load := range sheet.Loads {
-		sh.unread[id] -= load.Unread
-		if sh.unread[id] <= 0 {
-			delete(sh.unread, id)
-		}
-	}
-}
-
-// Expire drops the sheets of hosts that were not heard of lately.
-func (sh *Sheets) Expire(now time.Time) {
-	for host, dated := range sh.newest {
-		if now.Sub(dated.at) >= sheetLifetime {
-			sh.remove(dated.sheet)
-			delete(sh.newest, host)
-		}
-	}
-}
-
-// Unread returns the prompt tokens that the other hosts have outstanding at a
-// server.
-func (sh *Sheets) Unread(id mp.ServerID) mp.Tokens { return sh.unread[id] }
-
-// Hosts returns how many other hosts' sheets count.
-func (sh *Sheets) Hosts() int { return len(sh.newest) }
-
 // Loads sends the host's sheet to other hosts and receives theirs.
 type Loads struct {
 	clock    clockwork.Clock
 	logger   zerolog.Logger
 	host     mp.HostID
+	self     Member
 	port     uint16
 	conn     *net.UDPConn
-	others   func() []Address
-	own      func() map[mp.ServerID]Load
-	received func(Sheet)
+	others   Directory
+	reporter Reporter
 	sequence uint64
-	idle     bool // the last sheet was empty
 }
 
 // LoadsOption changes loads under construction.
@@ -125,7 +74,7 @@
 
 // NewLoads starts to exchange load sheets at an address. All hosts use the same
 // port. It returns a function that stops it.
-func NewLoads(host mp.HostID, address string, others func() []Address, own func() map[mp.ServerID]Load, received func(Sheet), opts ...LoadsOption) (func(), error) {
+func NewLoads(host mp.HostID, self Member, address string, others Directory, reporter Reporter, opts ...LoadsOption) (func(), error) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.NewNotValid(err, "address of load sheets")
@@ -138,11 +87,11 @@
 		clock:    clockwork.NewRealClock(),
 		logger:   zerolog.Nop(),
 		host:     host,
+		self:     self,
 		port:     at.Port(),
 		conn:     conn,
 		others:   others,
-		own:      own,
-		received: received,
+		reporter: reporter,
 	}
 	for _, opt := range opts {
 		opt(lo)
@@ -150,7 +99,7 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(lo.receive)
-	group.Go(func() { lo.send(stop) })
+	group.Go(func() { lo.run(stop) })
 	return func() {
 		close(stop)
 		_ = conn.Close()
@@ -158,6 +107,8 @@
 	}, nil
 }
 
+// receive takes the sheets of other hosts. The sheet of another data centre is
+// passed on to the hosts of this one.
 func (lo *Loads) receive() {
 	data := make([]byte, sheetLimit)
 	for {
@@ -169,35 +120,47 @@
 			continue // a datagram that was refused elsewhere is reported here
 		}
 		var sheet Sheet
-		if err := json.Unmarshal(data[:count], &sheet); err != nil || sheet.From == "" || sheet.From == lo.host {
+		if err := json.Unmarshal(data[:count], &sheet); err != nil || sheet.Host == "" || sheet.Host == lo.host {
 			continue
 		}
-		lo.received(sheet)
+		if sheet.Whole && sheet.Direct {
+			sheet.Direct = false
+			lo.write(sheet, lo.others.Near())
+		}
+		lo.reporter.Received(sheet)
 	}
 }
 
-// send sends the sheet at an interval. An empty one is sent once.
-func (lo *Loads) send(stop <-chan struct{}) {
-	for {
-		others := lo.others()
-		wait := sheetInterval
+// run sends sheets at an interval until it is stopped.
+func (lo *Loads) run(stop <-chan struct{}) {
+	for round := 0; ; round++ {
 		select {
 		case <-stop:
 			return
-		case <-lo.clock.After(wait*3/4 + time.Duration(rand.Int64N(int64(wait/2)))):
+		case <-lo.clock.After(sheetInterval*3/4 + time.Duration(rand.Int64N(int64(sheetInterval/2)))):
 		}
-		lo.sendOnce(others)
+		lo.send(round)
 	}
 }
 
-func (lo *Loads) sendOnce(others []Address) {
-	loads := lo.own()
-	if len(loads) == 0 && lo.idle {
+func (lo *Loads) send(round int) {
+	loads, freshness := lo.reporter.Report()
+	lo.sequence++
+	sheet := Sheet{From: lo.self, Host: lo.host, Sequence: lo.sequence, Freshness: freshness, Loads: loads}
+	if len(loads) > 0 || round%calmSheets == 0 {
+		lo.write(sheet, lo.others.Near())
+	}
+	if round%wholeSheets != 0 {
 		return
 	}
-	lo.idle = len(loads) == 0
-	lo.sequence++
-	data, err := json.Marshal(Sheet{From: lo.host, Sequence: lo.sequence, Loads: loads})
+	if whole, ok := lo.reporter.ReportWhole(); ok && len(whole) > 0 {
+		sheet.Whole, sheet.Direct, sheet.Loads = true, true, whole
+		lo.write(sheet, lo.others.Contacts())
+	}
+}
+
+func (lo *Loads) write(sheet Sheet, others []Address) {
+	data, err := json.Marshal(sheet)
 	if err != nil || len(data) > sheetLimit {
 		lo.logger.Error().Str("event", "sheet_failed").Err(err).Int("bytes", len(data)).Msg("load sheet not sent")
 		return
--- a/peer/members.go
+++ b/peer/members.go
@@ -3,53 +3,61 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
 )
 
 const (
 	// memberLifetime is how long a host is remembered after it was last heard of.
 	memberLifetime = 30 * time.Second
 	// sampleSize is how many members one message carries.
-	sampleSize = 8
+	sampleSize = 12
 )
 
 // Members are the other hosts that a host has heard of. It does no I/O and is
 // not safe for concurrent use.
 type Members struct {
-	self   Address
+	self   Member
 	seeds  []Address
-	heard  map[Address]time.Time
+	heard  map[Address]heard
 	random *rand.Rand
 }
 
+type heard struct {
+	dataCentre mp.DataCentreID
+	at         time.Time
+}
+
 // NewMembers returns the members that the seeds name.
-func NewMembers(self Address, seeds []Address, random *rand.Rand) *Members {
-	me := &Members{self: self, heard: map[Address]time.Time{}, random: random}
+func NewMembers(self Member, seeds []Address, random *rand.Rand) *Members {
+	me := &Members{self: self, heard: map[Address]heard{}, random: random}
 	me.SetSeeds(seeds)
 	return me
 }
 
 // SetSeeds replaces the seeds.
 func (me *Members) SetSeeds(seeds []Address) {
-	me.seeds = slices.DeleteFunc(slices.Clone(seeds), func(ad Address) bool { return ad == me.self })
+	me.seeds = slices.DeleteFunc(slices.Clone(seeds), func(ad Address) bool { return ad == me.self.Address })
 }
 
 // Heard records that a host was heard of at a time.
-func (me *Members) Heard(now time.Time, ad Address) {
-	if ad == "" || ad == me.self {
+func (me *Members) Heard(now time.Time, member Member) {
+	if member.Address == "" || member.Address == me.self.Address {
 		return
 	}
-	if now.After(me.heard[ad]) {
-		me.heard[ad] = now
+	if now.After(me.heard[member.Address].at) {
+		me.heard[member.Address] = heard{dataCentre: member.DataCentre, at: now}
 	}
 }
 
 // Told records hosts that another one named. What is known by hearsay is
 // remembered for half the time, so that hosts that are gone are forgotten.
-func (me *Members) Told(now time.Time, addresses []Address) {
-	for _, ad := range addresses {
-		if _, ok := me.heard[ad]; !ok {
-			me.Heard(now.Add(-memberLifetime/2), ad)
+func (me *Members) Told(now time.Time, members []Member) {
+	for _, member := range members {
+		if _, ok := me.heard[member.Address]; !ok {
+			me.Heard(now.Add(-memberLifetime/2), member)
 		}
 	}
 }
@@ -57,49 +65,70 @@
 // Pick returns a random other host, a seed if no other is known; empty if there
 // is none.
 func (me *Members) Pick(now time.Time) Address {
-	known := me.known(now)
+	me.expire(now)
+	known := slices.Clone(me.seeds)
+	for ad := range me.heard {
+		if !slices.Contains(known, ad) {
+			known = append(known, ad)
+		}
+	}
 	if len(known) == 0 {
 		return ""
 	}
+	slices.Sort(known)
 	return known[me.random.IntN(len(known))]
 }
 
+// Near returns the other hosts of the same data centre.
+func (me *Members) Near(now time.Time) []Address {
+	return me.byDataCentre(now)[me.self.DataCentre]
+}
+
+// Contacts returns one random host of each other data centre.
+func (me *Members) Contacts(now time.Time) []Address {
+	var contacts []Address
+	for dc, hosts := range me.byDataCentre(now) {
+		if dc != me.self.DataCentre && dc != "" {
+			contacts = append(contacts, hosts[me.random.IntN(len(hosts))])
+		}
+	}
+	slices.Sort(contacts)
+	return contacts
+}
+
+func (me *Members) byDataCentre(now time.Time) map[mp.DataCentreID][]Address {
+	me.expire(now)
+	groups := map[mp.DataCentreID][]Address{}
+	for ad, he := range me.heard {
+		groups[he.dataCentre] = append(groups[he.dataCentre], ad)
+	}
+	for _, hosts := range groups {
+		slices.Sort(hosts)
+	}
+	return groups
+}
+
 // Sample returns some of the members that were heard of lately.
-func (me *Members) Sample(now time.Time) []Address {
+func (me *Members) Sample(now time.Time) []Member {
 	me.expire(now)
-	sample := make([]Address, 0, len(me.heard))
-	for ad := range me.heard {
-		sample = append(sample, ad)
+	sample := make([]Member, 0, len(me.heard))
+	for ad, he := range me.heard {
+		sample = append(sample, Member{Address: ad, DataCentre: he.dataCentre})
 	}
-	slices.Sort(sample)
+	slices.SortFunc(sample, func(a, b Member) int { return strings.Compare(string(a.Address), string(b.Address)) })
 	me.random.Shuffle(len(sample), func(a, b int) { sample[a], sample[b] = sample[b], sample[a] })
 	return sample[:min(len(sample), sampleSize)]
 }
 
-// All returns all other hosts that are known.
-func (me *Members) All(now time.Time) []Address { return me.known(now) }
-
 // Count returns how many other hosts were heard of lately.
 func (me *Members) Count(now time.Time) int {
 	me.expire(now)
 	return len(me.heard)
 }
 
-func (me *Members) known(now time.Time) []Address {
-	me.expire(now)
-	known := slices.Clone(me.seeds)
-	for ad := range me.heard {
-		if !slices.Contains(known, ad) {
-			known = append(known, ad)
-		}
-	}
-	slices.Sort(known)
-	return known
-}
-
 func (me *Members) expire(now time.Time) {
-	for ad, at := range me.heard {
-		if now.Sub(at) > memberLifetime {
+	for ad, he := range me.heard {
+		if now.Sub(he.at) > memberLifetime {
 			delete(me.heard, ad)
 		}
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -42,12 +42,13 @@
 type Node struct {
 	clock  clockwork.Clock
 	logger zerolog.Logger
-	self   Address
+	self   Member
 	brain  Brain
 
 	mu      sync.Mutex
 	members *Members
 	lost    map[Address]bool
+	asked   chan Address
 }
 
 // Option changes a node under construction.
@@ -65,19 +66,20 @@
 
 // New listens for other hosts, starts to exchange knowledge with them, and
 // returns a function that stops it.
-func New(self Address, seeds []Address, brain Brain, opts ...Option) (*Node, func(), error) {
+func New(self Member, seeds []Address, brain Brain, opts ...Option) (*Node, func(), error) {
 	no := &Node{
 		clock:  clockwork.NewRealClock(),
 		logger: zerolog.Nop(),
 		self:   self,
 		brain:  brain,
 		lost:   map[Address]bool{},
+		asked:  make(chan Address, 1),
 	}
 	no.members = NewMembers(self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for _, opt := range opts {
 		opt(no)
 	}
-	listener, err := net.Listen("tcp", string(self))
+	listener, err := net.Listen("tcp", string(self.Address))
 	if err != nil {
 		return nil, nil, errors.Annotate(err, "listener for hosts")
 	}
@@ -99,11 +101,26 @@
 	no.members.SetSeeds(seeds)
 }
 
-// Others returns the addresses of all other hosts that are known.
-func (no *Node) Others() []Address {
+// Near implements Directory.
+func (no *Node) Near() []Address {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return no.members.All(no.clock.Now())
+	return no.members.Near(no.clock.Now())
+}
+
+// Contacts implements Directory.
+func (no *Node) Contacts() []Address {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.members.Contacts(no.clock.Now())
+}
+
+// Ask exchanges knowledge with a host soon, unless that is under way.
+func (no *Node) Ask(other Address) {
+	select {
+	case no.asked <- other:
+	default:
+	}
 }
 
 // Count returns how many other hosts were heard of lately.
@@ -182,20 +199,37 @@
 	return known
 }
 
-// run exchanges knowledge with one random host after the other.
+// run exchanges knowledge with one random host after the other, and with those
+// that are known to know more.
 func (no *Node) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		no.mu.Lock()
 		other := no.members.Pick(no.clock.Now())
 		no.mu.Unlock()
-		if other != "" {
-			no.note(other, no.exchange(ctx, other))
-		}
 		interval := calmInterval
 		if no.brain.Urgent() {
 			interval = urgentInterval
 		}
-		no.sleep(ctx, interval/2+time.Duration(rand.Int64N(int64(interval))))
+		timer := no.clock.After(interval/2 + time.Duration(rand.Int64N(int64(interval))))
+		if other != "" {
+			no.note(other, no.exchange(ctx, other))
+		}
+		no.answerAsked(ctx, timer)
+	}
+}
+
+// answerAsked exchanges knowledge with the hosts that were asked for until the
+// timer fires.
+func (no *Node) answerAsked(ctx context.Context, timer <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer:
+			return
+		case other := <-no.asked:
+			no.note(other, no.exchange(ctx, other))
+		}
 	}
 }
 
@@ -219,7 +253,7 @@
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.HandlerWithError(no.handle))
 	defer conn.Close()
 	asked := no.clock.Now()
-	told, err := no.call(ctx, conn, no.know(Knowledge{Version: unknownVersion}))
+	told, err := no.call(ctx, conn, no.know(Knowledge{Freshness: Freshness{Version: unknownVersion, ListRevision: unknownVersion}}))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- /dev/null
+++ b/peer/sheets.go
@@ -0,0 +1,139 @@
+package peer
+
+import (
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+// Load is what hosts have outstanding at one backend server.
+type Load struct {
+	// Unread counts the prompt tokens of requests without a first event.
+	Unread mp.Tokens `json:"unread"`
+}
+
+// Sheet is a host's loads at the backend servers and how new its knowledge is.
+// It is sent as a datagram; a lost one is made up for by the next.
+type Sheet struct {
+	From     Member    `json:"from"`
+	Host     mp.HostID `json:"host"`
+	Sequence uint64    `json:"sequence"`
+	// Whole says that the loads are those of all hosts of the data centre.
+	Whole bool `json:"whole,omitempty"`
+	// Direct says that the sheet is to be passed on inside the data centre.
+	Direct bool `json:"direct,omitempty"`
+	Freshness
+	Loads map[mp.ServerID]Load `json:"loads,omitempty"`
+}
+
+const (
+	// sheetLifetime is how long a sheet counts if no newer one comes.
+	sheetLifetime = 800 * time.Millisecond
+	// liveTime is how long a host is taken to be alive after its last sheet.
+	liveTime = 1500 * time.Millisecond
+)
+
+// Sheets holds the newest sheet of each host of the data centre, and of each
+// other data centre as a whole. It does no I/O and is not safe for concurrent
+// use.
+type Sheets struct {
+	host    mp.HostID
+	hosts   map[mp.HostID]datedSheet
+	centres map[mp.DataCentreID]datedSheet
+	unread  map[mp.ServerID]mp.Tokens
+}
+
+type datedSheet struct {
+	sheet Sheet
+	at    time.Time
+}
+
+// NewSheets returns an empty holder for a host.
+func NewSheets(host mp.HostID) *Sheets {
+	return &Sheets{
+		host:    host,
+		hosts:   map[mp.HostID]datedSheet{},
+		centres: map[mp.DataCentreID]datedSheet{},
+		unread:  map[mp.ServerID]mp.Tokens{},
+	}
+}
+
+// Add takes a sheet. One that is older than the newest of its sender is dropped.
+func (sh *Sheets) Add(now time.Time, sheet Sheet) {
+	if sheet.Whole {
+		replaceSheet(sh, sh.centres, sheet.From.DataCentre, now, sheet)
+		return
+	}
+	replaceSheet(sh, sh.hosts, sheet.Host, now, sheet)
+}
+
+func replaceSheet[K comparable](sh *Sheets, group map[K]datedSheet, key K, now time.Time, sheet Sheet) {
+	known := group[key]
+	if sheet.Sequence <= known.sheet.Sequence && now.Sub(known.at) < sheetLifetime {
+		return // a sender that has started again counts from one
+	}
+	sh.subtract(known.sheet)
+	group[key] = datedSheet{sheet: sheet, at: now}
+	for id, load := range sheet.Loads {
+		sh.unread[id] += load.Unread
+	}
+}
+
+func (sh *Sheets) subtract(sheet Sheet) {
+	for id, load := range sheet.Loads {
+		sh.unread[id] -= load.Unread
+		if sh.unread[id] <= 0 {
+			delete(sh.unread, id)
+		}
+	}
+}
+
+// Expire drops the loads of senders that were not heard of lately.
+func (sh *Sheets) Expire(now time.Time) {
+	expireSheets(sh, sh.hosts, now)
+	expireSheets(sh, sh.centres, now)
+}
+
+func expireSheets[K comparable](sh *Sheets, group map[K]datedSheet, now time.Time) {
+	for key, dated := range group {
+		if now.Sub(dated.at) >= sheetLifetime && dated.sheet.Loads != nil {
+			sh.subtract(dated.sheet)
+			dated.sheet.Loads = nil
+			group[key] = dated
+		}
+		if now.Sub(dated.at) >= liveTime {
+			delete(group, key)
+		}
+	}
+}
+
+// Unread returns the prompt tokens that the other hosts have outstanding at a
+// server.
+func (sh *Sheets) Unread(id mp.ServerID) mp.Tokens { return sh.unread[id] }
+
+// Rank returns how many live hosts of the data centre come before this one. The
+// first one reads the store for the others.
+func (sh *Sheets) Rank(now time.Time) int {
+	rank := 0
+	for host, dated := range sh.hosts {
+		if host < sh.host && now.Sub(dated.at) < liveTime {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Sum returns the loads of the data centre: the given ones and those of its
+// other hosts.
+func (sh *Sheets) Sum(own map[mp.ServerID]Load) map[mp.ServerID]Load {
+	sum := make(map[mp.ServerID]Load, len(own))
+	for id, load := range own {
+		sum[id] = load
+	}
+	for _, dated := range sh.hosts {
+		for id, load := range dated.sheet.Loads {
+			sum[id] = Load{Unread: sum[id].Unread + load.Unread}
+		}
+	}
+	return sum
+}
