Keep engines for steady streams; refuse early, by priority, what begins too late

Change: one engine in six, the same on all hosts, is kept for streams whose events have little room; crossing over costs. A request is refused when it is expected to begin later than a part of its target that falls with its priority.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,9 +44,11 @@
 // place chooses the backend server of the next attempt.
 func (ga *Gateway) place(re *request) (placement.Choice, *mp.Error) {
 	now := ga.clock.Now()
+	work := re.work(now)
 	ga.placerMu.Lock()
-	ch, ok := ga.placer.Choose(now, re.work())
-	if ok {
+	ch, ok := ga.placer.Choose(now, work)
+	late := ch.Late(work)
+	if ok && (late <= 0 || re.mayHaveRun) {
 		ga.placer.Begin(ch)
 	}
 	ga.placerMu.Unlock()
@@ -55,6 +57,11 @@
 		refusal.RetryAfter = soonAgain
 		return ch, refusal
 	}
+	if late > 0 && !re.mayHaveRun {
+		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q, %v too late", ch.Expected, ch.Server.ID, late)
+		refusal.RetryAfter = max(late, soonAgain)
+		return ch, refusal
+	}
 	re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
 		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.Home).
 		Int("in_flight", ch.InFlight).Int64("unread", int64(ch.Unread)).Dur("expected_ms", ch.Expected).
--- a/gateway/brain.go
+++ b/gateway/brain.go
@@ -74,8 +74,8 @@
 // ownLoads returns what this host has outstanding. The caller holds the lock.
 func (ga *Gateway) ownLoads() map[mp.ServerID]peer.Load {
 	loads := map[mp.ServerID]peer.Load{}
-	for id, unread := range ga.placer.Unread() {
-		loads[id] = peer.Load{Unread: unread}
+	for id, load := range ga.placer.Loads() {
+		loads[id] = peer.Load(load)
 	}
 	return loads
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 		opt(ga)
 	}
 	ga.startedAt = ga.clock.Now()
-	ga.placer = placement.New(placement.WithOthers(ga.sheets.Unread))
+	ga.placer = placement.New(placement.WithOthers(ga.othersLoad))
 	if err := ga.start(); err != nil {
 		ga.close()
 		return nil, nil, errors.Trace(err)
@@ -266,6 +266,12 @@
 	ga.placerMu.Unlock()
 }
 
+// othersLoad returns what other hosts have outstanding at a server. The caller
+// holds the lock of the placer.
+func (ga *Gateway) othersLoad(id mp.ServerID) placement.Load {
+	return placement.Load(ga.sheets.Total(id))
+}
+
 func (ga *Gateway) distance(dc mp.DataCentreID) placement.Distance {
 	switch {
 	case dc == ga.settings.DataCentre:
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -72,17 +72,26 @@
 	return max(time.Millisecond, re.callerDeadline.Sub(now))
 }
 
-func (re *request) work() *placement.Work {
+func (re *request) work(now time.Time) *placement.Work {
 	return &placement.Work{
-		Service: re.service,
-		Prompt:  re.caller.Prompt,
-		Tokens:  re.caller.Tokens,
-		Bytes:   len(re.body),
-		Target:  re.route.Target,
-		Exclude: re.tried,
+		Left:     re.left(now),
+		Priority: re.priority(),
+		Steady:   re.steady(),
+		Service:  re.service,
+		Prompt:   re.caller.Prompt,
+		Tokens:   re.caller.Tokens,
+		Bytes:    len(re.body),
+		Target:   re.route.Target,
+		Exclude:  re.tried,
 	}
 }
 
+// steady says whether the events of the answer must follow each other closely.
+func (re *request) steady() bool {
+	service, ok := re.snapshot.Table.Service(re.service)
+	return ok && service.Engine != nil && placement.Steady(re.route.LongestGap, service.Engine.EventTokens)
+}
+
 // repeatable says whether the request may be sent again after it may have run.
 func (re *request) repeatable() bool {
 	return re.route.Repeatable()
--- a/peer/sheets.go
+++ b/peer/sheets.go
@@ -9,7 +9,17 @@
 // Load is what hosts have outstanding at one backend server.
 type Load struct {
 	// Unread counts the prompt tokens of requests without a first event.
-	Unread mp.Tokens `json:"unread"`
+	Unread mp.Tokens `json:"unread,omitempty"`
+	// Streams counts the steady streams in progress.
+	Streams int `json:"streams,omitempty"`
+}
+
+func (lo Load) plus(other Load) Load {
+	return Load{Unread: lo.Unread + other.Unread, Streams: lo.Streams + other.Streams}
+}
+
+func (lo Load) minus(other Load) Load {
+	return Load{Unread: lo.Unread - other.Unread, Streams: lo.Streams - other.Streams}
 }
 
 // Sheet is a host's loads at the backend servers and how new its knowledge is.
@@ -40,7 +50,7 @@
 	host    mp.HostID
 	hosts   map[mp.HostID]datedSheet
 	centres map[mp.DataCentreID]datedSheet
-	unread  map[mp.ServerID]mp.Tokens
+	total   map[mp.ServerID]Load
 }
 
 type datedSheet struct {
@@ -54,7 +64,7 @@
 		host:    host,
 		hosts:   map[mp.HostID]datedSheet{},
 		centres: map[mp.DataCentreID]datedSheet{},
-		unread:  map[mp.ServerID]mp.Tokens{},
+		total:   map[mp.ServerID]Load{},
 	}
 }
 
@@ -75,16 +85,18 @@
 	sh.subtract(known.sheet)
 	group[key] = datedSheet{sheet: sheet, at: now}
 	for id, load := range sheet.Loads {
-		sh.unread[id] += load.Unread
+		sh.total[id] = sh.total[id].plus(load)
 	}
 }
 
 func (sh *Sheets) subtract(sheet Sheet) {
 	for id, load := range sheet.Loads {
-		sh.unread[id] -= load.Unread
-		if sh.unread[id] <= 0 {
-			delete(sh.unread, id)
+		left := sh.total[id].minus(load)
+		if left == (Load{}) {
+			delete(sh.total, id)
+			continue
 		}
+		sh.total[id] = left
 	}
 }
 
@@ -107,9 +119,8 @@
 	}
 }
 
-// Unread returns the prompt tokens that the other hosts have outstanding at a
-// server.
-func (sh *Sheets) Unread(id mp.ServerID) mp.Tokens { return sh.unread[id] }
+// Total returns what the other hosts have outstanding at a server.
+func (sh *Sheets) Total(id mp.ServerID) Load { return sh.total[id] }
 
 // Rank returns how many live hosts of the data centre come before this one. The
 // first one reads the store for the others.
@@ -132,7 +143,7 @@
 	}
 	for _, dated := range sh.hosts {
 		for id, load := range dated.sheet.Loads {
-			sum[id] = Load{Unread: sum[id].Unread + load.Unread}
+			sum[id] = sum[id].plus(load)
 		}
 	}
 	return sum
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -24,7 +24,7 @@
 // the work begins, and what it takes from others.
 func (pl *Placer) chooseEngine(now time.Time, wo *Work, candidates []*server) Choice {
 	shared, key := wo.shared()
-	home := homeOf(candidates, key, shared)
+	home := homeOf(divide(candidates, wo.Steady), key, shared)
 	var best Choice
 	var least time.Duration
 	for _, se := range candidates {
@@ -37,6 +37,29 @@
 	return best
 }
 
+// patience is the part of the target within which a request of a priority must be
+// expected to begin; the last one holds for all lower ones. When engines can't
+// read all prompts in time, the lower priorities are refused first, while what is
+// more urgent still begins in time.
+var patience = [...]float64{3, 1, 0.6}
+
+// lastPart is the part of the time left within which any request must be expected
+// to begin.
+const lastPart = 0.7
+
+// Late returns by how much the work is expected to begin too late at the chosen
+// engine; zero or less if it should be sent.
+func (ch Choice) Late(wo *Work) time.Duration {
+	if !ch.Server.Engine {
+		return 0
+	}
+	limit := time.Duration(patience[min(max(0, wo.Priority), len(patience)-1)] * float64(wo.Target))
+	if wo.Left > 0 {
+		limit = min(limit, time.Duration(lastPart*float64(wo.Left)))
+	}
+	return ch.Expected - limit
+}
+
 // homeOf returns the engine where all hosts look for a shared part first; nil if
 // there is no such part.
 func homeOf(candidates []*server, key uint64, shared mp.Tokens) *server {
@@ -62,6 +85,9 @@
 	if !ch.Home {
 		cost += againCost * readTime(shared)
 	}
+	if se.reserved != wo.Steady {
+		cost += pl.mixing(wo, se)
+	}
 	if se.Distance == OtherRegion {
 		cost += time.Duration(wo.Bytes) * regionCost
 	}
@@ -76,10 +102,14 @@
 		unread -= shared
 	}
 	unread = max(0, unread)
-	reading := stepTime + readTime(se.unread+pl.others(se.ID)+unread)
+	others := pl.others(se.ID)
+	reading := stepTime + readTime(se.unread+others.Unread+unread)
+	if wo.Steady {
+		reading += time.Duration(se.streams+others.Streams) * streamTime
+	}
 	expected := roundTrip[se.Distance] + time.Duration(float64(reading)*se.currentSlowness(now)) +
 		time.Duration(se.failureShare(now)*float64(failureCost))
-	return Choice{Server: se.Server, Expected: expected, Home: home, InFlight: se.inFlight, Unread: unread, reading: reading}
+	return Choice{Server: se.Server, Expected: expected, Home: home, InFlight: se.inFlight, Unread: unread, Steady: wo.Steady, reading: reading}
 }
 
 // inRegion returns the servers of the host's region, or all if it has none.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -32,6 +32,12 @@
 	Bytes int
 	// Target is the time until the answer, or until the first event.
 	Target time.Duration
+	// Left is the time until the deadline; zero for none.
+	Left time.Duration
+	// Priority is the rank; 0 is the most urgent.
+	Priority int
+	// Steady marks a stream whose events must follow each other closely.
+	Steady bool
 	// Exclude are servers that the request must not go to.
 	Exclude []mp.ServerID
 }
@@ -61,6 +67,8 @@
 	InFlight int
 	// Unread counts the prompt tokens that the request adds to the engine's queue.
 	Unread mp.Tokens
+	// Steady says that the work is a steady stream.
+	Steady bool
 	// reading is the part of the expected time that the engine's reading takes at
 	// the usual speed.
 	reading time.Duration
@@ -88,7 +96,7 @@
 // Placer chooses backend servers. It is not safe for concurrent use.
 type Placer struct {
 	random   *rand.Rand
-	others   func(mp.ServerID) mp.Tokens
+	others   func(mp.ServerID) Load
 	servers  map[mp.ServerID]*server
 	services map[mp.ServiceName][]*server
 }
@@ -101,9 +109,16 @@
 	return func(pl *Placer) { pl.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
-// WithOthers sets what other hosts have outstanding at a server, in prompt
-// tokens.
-func WithOthers(others func(mp.ServerID) mp.Tokens) Option {
+// Load is what hosts have outstanding at a server.
+type Load struct {
+	// Unread counts the prompt tokens of requests without a first event.
+	Unread mp.Tokens
+	// Streams counts the steady streams in progress.
+	Streams int
+}
+
+// WithOthers sets what other hosts have outstanding at a server.
+func WithOthers(others func(mp.ServerID) Load) Option {
 	return func(pl *Placer) { pl.others = others }
 }
 
@@ -111,7 +126,7 @@
 func New(opts ...Option) *Placer {
 	pl := &Placer{
 		random:   rand.New(rand.NewPCG(1, 1)),
-		others:   func(mp.ServerID) mp.Tokens { return 0 },
+		others:   func(mp.ServerID) Load { return Load{} },
 		servers:  map[mp.ServerID]*server{},
 		services: map[mp.ServiceName][]*server{},
 	}
@@ -136,6 +151,9 @@
 		services[description.Service] = append(services[description.Service], se)
 	}
 	pl.servers, pl.services = kept, services
+	for _, group := range services {
+		reserve(group)
+	}
 }
 
 // Choose returns a server for the work, false if there is none.
@@ -202,6 +220,9 @@
 	if se, ok := pl.servers[ch.Server.ID]; ok {
 		se.inFlight++
 		se.unread += ch.Unread
+		if ch.Steady {
+			se.streams++
+		}
 	}
 }
 
@@ -224,6 +245,9 @@
 		return
 	}
 	se.inFlight = max(0, se.inFlight-1)
+	if ch.Steady {
+		se.streams = max(0, se.streams-1)
+	}
 	if !began {
 		se.unread = max(0, se.unread-ch.Unread)
 	}
@@ -261,13 +285,13 @@
 	return time.Duration(float64(tokens) / initialReadRate * float64(time.Second))
 }
 
-// Unread returns the prompt tokens that this host has outstanding at engines.
-func (pl *Placer) Unread() map[mp.ServerID]mp.Tokens {
-	unread := map[mp.ServerID]mp.Tokens{}
+// Loads returns what this host has outstanding at engines.
+func (pl *Placer) Loads() map[mp.ServerID]Load {
+	loads := map[mp.ServerID]Load{}
 	for id, se := range pl.servers {
-		if se.unread > 0 {
-			unread[id] = se.unread
+		if se.unread > 0 || se.streams > 0 {
+			loads[id] = Load{Unread: se.unread, Streams: se.streams}
 		}
 	}
-	return unread
+	return loads
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -68,6 +68,10 @@
 	inFlight int
 	// unread counts the prompt tokens of own requests without a first event.
 	unread mp.Tokens
+	// streams counts own steady streams in progress.
+	streams int
+	// reserved says that the engine is kept for steady streams.
+	reserved bool
 	// slowness is how many times longer than expected the reading took, beyond
 	// one, a running mean at the time slownessAt.
 	slowness   float64
