Refuse by the wait behind other prompts; divide engines only where streams need it

Change: patience bounds the wait behind other prompts; a service without steady streams isn't divided.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/retry"
+	"github.com/mangopaddle/mangopaddle/routing"
 )
 
 const (
@@ -246,6 +247,7 @@
 	if snapshot.Table == nil {
 		return
 	}
+	steady := steadyServices(snapshot.Table)
 	servers := make([]placement.Server, 0, len(snapshot.Servers))
 	for _, se := range snapshot.Servers {
 		if se.State != directory.Ready {
@@ -259,6 +261,7 @@
 			Slots:    se.Slots,
 			Distance: ga.distance(se.DataCentre),
 			Engine:   ok && service.Engine != nil,
+			Steady:   steady[se.Service],
 		})
 	}
 	ga.placerMu.Lock()
@@ -266,6 +269,26 @@
 	ga.placerMu.Unlock()
 }
 
+// steadyServices returns the services that steady streams are sent to.
+func steadyServices(table *routing.Table) map[mp.ServiceName]bool {
+	steady := map[mp.ServiceName]bool{}
+	for _, ro := range table.Routes() {
+		for _, share := range ro.Shares {
+			if isSteady(table, ro, share.Service) {
+				steady[share.Service] = true
+			}
+		}
+	}
+	return steady
+}
+
+// isSteady says whether the events of a route's answers must follow each other
+// closely at a service.
+func isSteady(table *routing.Table, ro *routing.Route, name mp.ServiceName) bool {
+	service, ok := table.Service(name)
+	return ok && service.Engine != nil && placement.Steady(ro.LongestGap, service.Engine.EventTokens)
+}
+
 // othersLoad returns what other hosts have outstanding at a server. The caller
 // holds the lock of the placer.
 func (ga *Gateway) othersLoad(id mp.ServerID) placement.Load {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,7 +76,7 @@
 	return &placement.Work{
 		Left:     re.left(now),
 		Priority: re.priority(),
-		Steady:   re.steady(),
+		Steady:   isSteady(re.snapshot.Table, re.route, re.service),
 		Service:  re.service,
 		Prompt:   re.caller.Prompt,
 		Tokens:   re.caller.Tokens,
@@ -86,12 +86,6 @@
 	}
 }
 
-// steady says whether the events of the answer must follow each other closely.
-func (re *request) steady() bool {
-	service, ok := re.snapshot.Table.Service(re.service)
-	return ok && service.Engine != nil && placement.Steady(re.route.LongestGap, service.Engine.EventTokens)
-}
-
 // repeatable says whether the request may be sent again after it may have run.
 func (re *request) repeatable() bool {
 	return re.route.Repeatable()
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -37,11 +37,11 @@
 	return best
 }
 
-// patience is the part of the target within which a request of a priority must be
-// expected to begin; the last one holds for all lower ones. When engines can't
-// read all prompts in time, the lower priorities are refused first, while what is
-// more urgent still begins in time.
-var patience = [...]float64{3, 1, 0.6}
+// patience is the part of the target that a request of a priority may spend
+// behind the prompts that are to be read before its own; the last one holds for
+// all lower ones. When engines can't read all prompts in time, the lower
+// priorities are refused first, while what is more urgent still begins in time.
+var patience = [...]float64{1.5, 0.4, 0.2}
 
 // lastPart is the part of the time left within which any request must be expected
 // to begin.
@@ -54,10 +54,11 @@
 		return 0
 	}
 	limit := time.Duration(patience[min(max(0, wo.Priority), len(patience)-1)] * float64(wo.Target))
+	late := ch.Wait - limit
 	if wo.Left > 0 {
-		limit = min(limit, time.Duration(lastPart*float64(wo.Left)))
+		late = max(late, ch.Expected-time.Duration(lastPart*float64(wo.Left)))
 	}
-	return ch.Expected - limit
+	return late
 }
 
 // homeOf returns the engine where all hosts look for a shared part first; nil if
@@ -103,13 +104,24 @@
 	}
 	unread = max(0, unread)
 	others := pl.others(se.ID)
-	reading := stepTime + readTime(se.unread+others.Unread+unread)
+	wait := readTime(se.unread + others.Unread)
+	reading := stepTime + wait + readTime(unread)
 	if wo.Steady {
 		reading += time.Duration(se.streams+others.Streams) * streamTime
 	}
-	expected := roundTrip[se.Distance] + time.Duration(float64(reading)*se.currentSlowness(now)) +
+	slowness := se.currentSlowness(now)
+	expected := roundTrip[se.Distance] + time.Duration(float64(reading)*slowness) +
 		time.Duration(se.failureShare(now)*float64(failureCost))
-	return Choice{Server: se.Server, Expected: expected, Home: home, InFlight: se.inFlight, Unread: unread, Steady: wo.Steady, reading: reading}
+	return Choice{
+		Server:   se.Server,
+		Expected: expected,
+		Wait:     time.Duration(float64(wait) * slowness),
+		Home:     home,
+		InFlight: se.inFlight,
+		Unread:   unread,
+		Steady:   wo.Steady,
+		reading:  reading,
+	}
 }
 
 // inRegion returns the servers of the host's region, or all if it has none.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -60,6 +60,8 @@
 	Server Server
 	// Expected is the time until the first event or the answer.
 	Expected time.Duration
+	// Wait is the part of it that the prompts before this one take.
+	Wait time.Duration
 	// Home says that the shared parts of the prompt are expected in the engine's
 	// memory.
 	Home bool
--- a/placement/steady.go
+++ b/placement/steady.go
@@ -37,8 +37,8 @@
 	return float64(event) > steadyPart*float64(longestGap)
 }
 
-// reserve marks the engines of a service that are kept for steady streams. All
-// hosts mark the same ones.
+// reserve marks the engines of a service that are kept for steady streams, if it
+// has any. All hosts mark the same ones.
 func reserve(servers []*server) {
 	ranked := slices.Clone(servers)
 	slices.SortFunc(ranked, func(a, b *server) int {
@@ -48,7 +48,7 @@
 		return 1
 	})
 	count := 0
-	if len(servers) >= leastEngines {
+	if len(servers) >= leastEngines && servers[0].Steady {
 		count = max(1, len(servers)/reservedPart)
 	}
 	for ix, se := range ranked {
--- a/routing/table.go
+++ b/routing/table.go
@@ -82,6 +82,15 @@
 	return se, ok
 }
 
+// Routes returns all routes.
+func (ta *Table) Routes() []*Route {
+	var routes []*Route
+	for _, group := range ta.byHost {
+		routes = append(routes, group...)
+	}
+	return routes
+}
+
 // ServiceFor picks the service of a request by the weights of its route. The
 // same request always goes to the same one.
 func (ro *Route) ServiceFor(id mp.RequestID) mp.ServiceName {
