Give up silent attempts that may be repeated; hold requests for the first configuration

Cause: requests placed on engines that had gone dark hung for a second or more at the connection or at an answer that never began; hosts that had just started answered 503 with a second's Retry-After though the configuration came 20 ms later.

Ruled out: shorter keep-alive probes, which can't tell a dark engine from a busy one.

Change: connections are tried for 400 ms; an unreachable server is avoided for a time that doubles and its idle connections are closed; an attempt that may be repeated is given up after 1.5 targets or four expected times, a resumable stream after four longest gaps; requests wait up to 700 ms for the first configuration; after a pause of the machine idle connections are closed and the list is read.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -110,8 +110,12 @@
 
 // Send writes a request and reads the header of its answer. The connection is
 // closed when the context ends. Matches says whether an answer belongs to the
-// request. An error says nothing about whether the request ran.
-func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, matches func(*http.Response) bool) (*Exchange, error) {
+// request. The header must come within the patience, unless that is zero. An
+// error says nothing about whether the request ran.
+func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, patience time.Duration, matches func(*http.Response) bool) (*Exchange, error) {
+	if patience > 0 {
+		_ = co.net.SetReadDeadline(time.Now().Add(patience))
+	}
 	ex := &Exchange{conn: co, pool: po}
 	ex.stop = context.AfterFunc(ctx, func() {
 		co.broken.Store(true)
@@ -172,6 +176,11 @@
 	return nil, errors.Trace(ErrForeign)
 }
 
+// SetReadDeadline bounds the next reads of the answer; the zero time lifts it.
+func (ex *Exchange) SetReadDeadline(at time.Time) error {
+	return ex.conn.net.SetReadDeadline(at)
+}
+
 // Reused says whether the request went out on a connection that had served
 // another one.
 func (ex *Exchange) Reused() bool { return ex.conn.reused }
@@ -188,6 +197,7 @@
 		return
 	}
 	ex.finished = true
+	_ = co.net.SetReadDeadline(time.Time{})
 	ex.pool.put(co, idle)
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	defaultDialTimeout = time.Second
+	// defaultDialTimeout is several round trips between regions. A server that
+	// doesn't answer by then is unreachable, or its link loses packets.
+	defaultDialTimeout = 400 * time.Millisecond
 	// unackedTimeout ends a connection whose packets are not acknowledged.
 	unackedTimeout = 2 * time.Second
 	// keepAliveIdle and the two below find a silent connection within about three
@@ -84,6 +86,7 @@
 	}
 	nc, err := po.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		po.forget(address)
 		return nil, errors.Annotatef(err, "connection to %s", address)
 	}
 	po.mu.Lock()
@@ -190,6 +193,16 @@
 	clear(po.idle)
 }
 
+// forget closes the idle connections to a server that can't be reached.
+func (po *Pool) forget(address string) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for _, co := range po.idle[address] {
+		_ = co.net.Close()
+	}
+	delete(po.idle, address)
+}
+
 // Dialed counts the connections that were opened.
 func (po *Pool) Dialed() int64 {
 	po.mu.Lock()
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -192,14 +192,19 @@
 	page, err := fo.store.Watch(waiting, "", after, watchWait)
 	if errors.Is(err, platform.ErrCompacted) {
 		fo.revision.Store(0)
-		select {
-		case fo.again <- struct{}{}:
-		default:
-		}
+		fo.Refresh()
 	}
 	return page, err
 }
 
+// Refresh asks for the list at once.
+func (fo *Follower) Refresh() {
+	select {
+	case fo.again <- struct{}{}:
+	default:
+	}
+}
+
 // advance moves the revision behind which the watch goes on.
 func (fo *Follower) advance(revision mp.Revision) {
 	for {
--- a/follow/view.go
+++ b/follow/view.go
@@ -4,6 +4,7 @@
 package follow
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,11 +40,13 @@
 // View holds the newest snapshot.
 type View struct {
 	snapshot atomic.Pointer[Snapshot]
+	ready    chan struct{} // closed with the first configuration
+	once     sync.Once
 }
 
 // NewView returns a view of an empty snapshot.
 func NewView() *View {
-	vi := &View{}
+	vi := &View{ready: make(chan struct{})}
 	vi.snapshot.Store(&Snapshot{})
 	return vi
 }
@@ -51,4 +54,12 @@
 // Load returns the newest snapshot.
 func (vi *View) Load() *Snapshot { return vi.snapshot.Load() }
 
-func (vi *View) store(sn *Snapshot) { vi.snapshot.Store(sn) }
+// Ready returns a channel that is closed with the first configuration.
+func (vi *View) Ready() <-chan struct{} { return vi.ready }
+
+func (vi *View) store(sn *Snapshot) {
+	vi.snapshot.Store(sn)
+	if sn.Table != nil {
+		vi.once.Do(func() { close(vi.ready) })
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,7 +59,7 @@
 	}
 	if late > 0 && !re.mayHaveRun {
 		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q, %v too late", ch.Expected, ch.Server.ID, late)
-		refusal.RetryAfter = max(late, soonAgain)
+		refusal.RetryAfter = re.comeBack(now, late)
 		return ch, refusal
 	}
 	re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
@@ -70,6 +70,20 @@
 	return ch, nil
 }
 
+// leastBack is the shortest Retry-After of an overload.
+const leastBack = 100 * time.Millisecond
+
+// comeBack returns when a request that is expected to begin too late may return:
+// when the excess of prompts will have been read, but while there is still time
+// to serve it.
+func (re *request) comeBack(now time.Time, late time.Duration) time.Duration {
+	after := max(late, leastBack)
+	if left := re.left(now); left > 0 {
+		after = min(after, left/3)
+	}
+	return after
+}
+
 // attempt sends the request to a server and relays its answer.
 func (ga *Gateway) attempt(ctx context.Context, re *request, ch placement.Choice) result {
 	began := false
@@ -94,7 +108,7 @@
 	}
 	re.attempts++
 	sent := ga.clock.Now()
-	ex, err := co.Send(ctx, ga.backends, re.forward(ch, sent), re.body, re.owns)
+	ex, err := co.Send(ctx, ga.backends, re.forward(ch, sent), re.body, re.patience(ch), re.owns)
 	if err != nil {
 		return result{outcome: placement.Failed, reached: true, err: err}
 	}
@@ -118,6 +132,23 @@
 	return freshIdle
 }
 
+const (
+	// patienceOfTarget and patienceOfExpected are how many times its target, and
+	// the expected time, an answer may take to begin before a request that may be
+	// repeated is sent elsewhere.
+	patienceOfTarget   = 1.5
+	patienceOfExpected = 4
+)
+
+// patience returns how long an answer may take to begin; zero for no limit. Only
+// what may be repeated is given up early, and only while attempts are left.
+func (re *request) patience(ch placement.Choice) time.Duration {
+	if !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.Target <= 0 {
+		return 0
+	}
+	return max(time.Duration(patienceOfTarget*float64(re.route.Target)), patienceOfExpected*ch.Expected)
+}
+
 // owns says whether an answer belongs to the request.
 func (re *request) owns(response *http.Response) bool {
 	an := platform.DecodeAnswer(response)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,9 +65,11 @@
 	stopping, closing atomic.Bool
 
 	startedAt time.Time
-	callers   *http.Server
-	cleanups  []func()
-	failed    chan error
+	// maintainedAt is when maintenance ran last; its goroutine alone uses it.
+	maintainedAt time.Time
+	callers      *http.Server
+	cleanups     []func()
+	failed       chan error
 }
 
 // Option changes a gateway under construction.
@@ -122,7 +124,7 @@
 		follow.WithRank(ga.rank), follow.WithInterval(ga.settings.readInterval()))
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
-	ga.every(pruneInterval, ga.backends.Prune)
+	ga.every(pruneInterval, ga.maintain)
 	self := peer.Member{Address: peer.Address(ga.settings.Peers), DataCentre: ga.settings.DataCentre}
 	peers, stopPeers, err := peer.New(self, addresses(ga.settings.Seeds), ga,
 		peer.WithClock(ga.clock), peer.WithLogger(ga.logger))
@@ -186,6 +188,24 @@
 	return nil
 }
 
+// pauseLimit is the gap between two rounds of maintenance that counts as a pause
+// of the machine.
+const pauseLimit = 2500 * time.Millisecond
+
+// maintain closes old idle connections. After a pause of the machine none is
+// trusted: the monotonic clock doesn't count a suspension, the wall clock does.
+func (ga *Gateway) maintain() {
+	now := ga.clock.Now()
+	gap := max(now.Sub(ga.maintainedAt), now.Round(0).Sub(ga.maintainedAt.Round(0)))
+	if !ga.maintainedAt.IsZero() && gap > pauseLimit {
+		ga.logger.Warn().Str("event", "paused").Dur("gap_ms", gap).Msg("the machine was paused; idle connections are closed")
+		ga.backends.Forget()
+		ga.follower.Refresh()
+	}
+	ga.maintainedAt = now
+	ga.backends.Prune()
+}
+
 // every calls a function at an interval until the host ends.
 func (ga *Gateway) every(interval time.Duration, call func()) {
 	stop := make(chan struct{})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -27,6 +27,7 @@
 	if ga.stopping.Load() {
 		rw.Header().Set("Connection", "close")
 	}
+	ga.awaitConfiguration(re)
 	if err := ga.admit(re); err != nil {
 		ga.refuse(re, err)
 		return
@@ -36,6 +37,23 @@
 	ga.run(ctx, re)
 }
 
+// firstWait is how long a request waits for the first configuration after the
+// host's start; the store answers within a few milliseconds.
+const firstWait = 700 * time.Millisecond
+
+// awaitConfiguration holds a request that came before the first configuration.
+func (ga *Gateway) awaitConfiguration(re *request) {
+	if re.snapshot.Table != nil {
+		return
+	}
+	select {
+	case <-ga.view.Ready():
+	case <-ga.clock.After(firstWait):
+	case <-re.rq.Context().Done():
+	}
+	re.snapshot = ga.view.Load()
+}
+
 // admit reads what the request says and checks it against the configuration. An
 // error means that the request reaches no backend server.
 func (ga *Gateway) admit(re *request) *mp.Error {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -64,6 +64,7 @@
 	pending := make([]byte, 0, streamBuffer)
 	chunk := make([]byte, streamBuffer)
 	for {
+		re.bound(ex)
 		count, err := ex.Response.Body.Read(chunk)
 		pending = append(pending, chunk[:count]...)
 		whole := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
@@ -85,6 +86,27 @@
 	}
 }
 
+const (
+	// silenceOfGap is how many times the longest gap between events a stream that
+	// can be resumed may be silent, and leastSilence the least such time.
+	silenceOfGap = 4
+	leastSilence = 600 * time.Millisecond
+)
+
+// bound limits the silence of a stream that can be resumed elsewhere. Before the
+// first event the patience of the attempt holds.
+func (re *request) bound(ex *backend.Exchange) {
+	if re.stream == nil || re.stream.firstAt.IsZero() {
+		return
+	}
+	if !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.LongestGap <= 0 {
+		_ = ex.SetReadDeadline(time.Time{}) // a closed connection fails at the read
+		return
+	}
+	silence := max(leastSilence, silenceOfGap*re.route.LongestGap)
+	_ = ex.SetReadDeadline(time.Now().Add(silence))
+}
+
 func streamFault(fault error) result {
 	if errors.Is(fault, errCaller) {
 		return result{done: true, outcome: placement.Cancelled, reached: true, err: fault}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -261,7 +261,7 @@
 			se.eject(now)
 		}
 	case Unreachable, Misplaced:
-		se.until = now.Add(unreachableTime)
+		se.avoid(now)
 	case Rejected:
 		se.until = now.Add(rejectedTime)
 	case Cancelled:
--- a/placement/server.go
+++ b/placement/server.go
@@ -50,7 +50,9 @@
 	// rejectedTime is how long a server that was full is avoided.
 	rejectedTime = 200 * time.Millisecond
 	// unreachableTime is how long a server that could not be reached is avoided.
-	unreachableTime = time.Second
+	// It doubles with each further try.
+	unreachableTime        = time.Second
+	longestUnreachableTime = 8 * time.Second
 	// failureHalfLife is how fast the share of failed requests is forgotten.
 	failureHalfLife = 3 * time.Second
 )
@@ -84,9 +86,10 @@
 	succeeded float64
 	countedAt time.Time
 
-	failures int // in a row
-	ejection time.Duration
-	until    time.Time // the server is avoided
+	unreached int // tries in a row that could not reach the server
+	failures  int // in a row
+	ejection  time.Duration
+	until     time.Time // the server is avoided
 }
 
 func newServer(description Server) *server {
@@ -129,7 +132,14 @@
 func (se *server) succeed(now time.Time) {
 	se.fadeCounts(now)
 	se.succeeded++
-	se.failures, se.ejection = 0, 0
+	se.failures, se.ejection, se.unreached = 0, 0, 0
+}
+
+// avoid keeps requests away from a server that could not be reached.
+func (se *server) avoid(now time.Time) {
+	wait := min(unreachableTime<<min(se.unreached, 8), longestUnreachableTime)
+	se.unreached++
+	se.until = now.Add(wait)
 }
 
 // fail records a failed request. It reports whether the server should be
