Test the gateway against stand-ins of the store and of faulty servers; mend two faults

Cause, found by the new tests, which failed first: when one read of a stream brought good events and one that doesn't follow, the good ones were recorded and not passed on, so the resumed stream had a gap; a request with chunks and a length kept its connection, so what followed its chunks was taken as a request.

Ruled out: a look at Content-Length in the handler, which net/http has removed by then.

--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,207 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+	"github.com/mangopaddle/mangopaddle/platform/fakestore"
+)
+
+// patience bounds how long a test waits for something that has to happen.
+const patience = 20 * time.Second
+
+// fixture is a host with a store and backend servers of two services.
+type fixture struct {
+	t        *testing.T
+	store    *fakestore.Store
+	settings gateway.Settings
+	gateway  *gateway.Gateway
+	version  int
+	logs     *logBuffer
+}
+
+const (
+	key   = "key-one"
+	host  = "quotes.example"
+	plain = "/plain/"
+	once  = "/once/"
+	chat  = "/chat/"
+	firm  = "/firm/"
+)
+
+// configuration returns the operator's configuration of a version. The services
+// are "engines" and "app".
+func configuration(version int, changes ...func(map[string]any)) []byte {
+	route := func(name, prefix, kind, service string, attempts, timeout int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout,
+			"target_latency_ms": 1000, "priority": 1, "max_attempts": attempts, "resumable": resumable, "gap_aim_ms": 2000,
+		}
+	}
+	content := map[string]any{
+		"version": version,
+		"routes": []any{
+			route("plain", plain, "idempotent", "app", 2, 8000, false),
+			route("once", once, "non_idempotent", "app", 2, 8000, false),
+			route("chat", chat, "streaming", "engines", 2, 15000, true),
+			route("firm", firm, "streaming", "engines", 2, 15000, false),
+		},
+		"services": []any{
+			map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 100},
+			map[string]any{"name": "engines", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 64, "kv_capacity": 300000, "stride": 5}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "org-one", "api_keys": []string{key}}},
+	}
+	for _, change := range changes {
+		change(content)
+	}
+	data, err := json.Marshal(content)
+	if err != nil {
+		panic(err) // plain maps can be encoded
+	}
+	return data
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// newFixture starts a host that knows the servers of the two services.
+func newFixture(t *testing.T, app, engines []*fakeserver.Server) *fixture {
+	t.Helper()
+	fx := &fixture{t: t, store: fakestore.New(), logs: &logBuffer{}}
+	http1 := httptest.NewServer(fx.store)
+	t.Cleanup(http1.Close)
+	fx.settings = gateway.Settings{
+		Host: "host-1", DataCentre: "dc-1", Region: "region-1", Regions: map[mp.DataCentreID]mp.RegionID{"dc-1": "region-1"},
+		Callers: freeAddress(t), Readiness: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t), Loads: freeAddress(t),
+		Store:    strings.TrimPrefix(http1.URL, "http://"),
+		StopTime: mp.Duration(8 * time.Second), ConfigTime: mp.Duration(3 * time.Second), DrainTime: mp.Duration(3 * time.Second),
+		RetryRatio: 1, RetryWindow: mp.Duration(10 * time.Second), RetrySlack: 1000,
+	}
+	for ix, se := range app {
+		fx.list(fmt.Sprintf("app-%d", ix), "app", se.Address(), "ready")
+	}
+	for ix, se := range engines {
+		fx.list(fmt.Sprintf("engine-%d", ix), "engines", se.Address(), "ready")
+	}
+	fx.store.Put("op/config", configuration(1))
+	fx.version = 1
+	fx.start()
+	return fx
+}
+
+func (fx *fixture) start() {
+	ga, stop, err := gateway.New(fx.settings, gateway.WithLogger(zerolog.New(fx.logs)))
+	require.NoError(fx.t, err)
+	fx.t.Cleanup(stop)
+	fx.gateway = ga
+	fx.eventually(ga.Ready)
+}
+
+// configure puts a new configuration into force.
+func (fx *fixture) configure(changes ...func(map[string]any)) {
+	fx.version++
+	fx.store.Put("op/config", configuration(fx.version, changes...))
+	fx.eventually(func() bool { return int(fx.gateway.Version()) == fx.version })
+}
+
+func (fx *fixture) list(id, service, address, state string) {
+	fx.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc-1","slots":6,"state":%q}`, service, address, state))
+}
+
+func (fx *fixture) eventually(condition func() bool) {
+	fx.t.Helper()
+	require.Eventually(fx.t, condition, patience, 5*time.Millisecond)
+}
+
+func startServer(t *testing.T, script fakeserver.Script) *fakeserver.Server {
+	t.Helper()
+	se, stop, err := fakeserver.New(script)
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	return se
+}
+
+func answers(body string) fakeserver.Script {
+	return func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Answer(rq, http.StatusOK, body)
+		return true
+	}
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // that ended the body
+}
+
+// send sends one request on a connection of its own.
+func (fx *fixture) send(ctx context.Context, method, path, id, body string, headers ...string) reply {
+	fx.t.Helper()
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+fx.settings.Callers+path, strings.NewReader(body))
+	require.NoError(fx.t, err)
+	rq.Host = host
+	rq.Header.Set("Request-Id", id)
+	rq.Header.Set("Authorization", "Bearer "+key)
+	rq.Header.Set("Deadline-Ms", "10000")
+	for _, line := range headers {
+		name, value, _ := strings.Cut(line, ": ")
+		rq.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	response, err := transport.RoundTrip(rq)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
+}
+
+func (fx *fixture) get(path, id string, headers ...string) reply {
+	return fx.send(context.Background(), http.MethodGet, path, id, "", headers...)
+}
+
+func (fx *fixture) post(path, id, body string, headers ...string) reply {
+	return fx.send(context.Background(), http.MethodPost, path, id, body, headers...)
+}
+
+// raw opens a connection for requests that are written byte by byte.
+func (fx *fixture) raw() (net.Conn, *bufio.Reader) {
+	fx.t.Helper()
+	nc, err := net.Dial("tcp", fx.settings.Callers)
+	require.NoError(fx.t, err)
+	fx.t.Cleanup(func() { _ = nc.Close() })
+	return nc, bufio.NewReader(nc)
+}
+
+func arrivals(servers ...*fakeserver.Server) int {
+	count := 0
+	for _, se := range servers {
+		count += len(se.Received())
+	}
+	return count
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -244,6 +244,16 @@
 // Failed returns a channel that brings the error of a listener that broke.
 func (ga *Gateway) Failed() <-chan error { return ga.failed }
 
+// Version returns the version of the configuration in force, zero for none.
+func (ga *Gateway) Version() mp.Version { return ga.view.Load().Version() }
+
+// Takers returns how many backend servers of a service take new requests.
+func (ga *Gateway) Takers(service mp.ServiceName) int {
+	ga.placerMu.Lock()
+	defer ga.placerMu.Unlock()
+	return ga.placer.Count(service)
+}
+
 // Ready says whether the host can serve callers.
 func (ga *Gateway) Ready() bool {
 	snapshot := ga.view.Load()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,440 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	app := startServer(t, answers("quote 7"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	got := fx.post(plain+"a%2Fb?x=1&y=%20", "r-1", "body")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "quote 7", got.body)
+	require.Equal(t, "sig-r-1", got.header.Get("Upstream-Signature"))
+	require.Equal(t, "r-1", got.header.Get("Request-Id"))
+	seen := app.Received()[0]
+	require.Equal(t, plain+"a%2Fb?x=1&y=%20", seen.URI)
+	require.Equal(t, "body", seen.Body)
+	require.Equal(t, http.MethodPost, seen.Method)
+}
+
+func TestHeadersThatOnlyTheSystemSets(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.get(plain, "r-1", "Tenant: other", "Expect-Instance: other", "Request-Priority: 0", "Kv-Hold: h", "Pin-Ms: 9",
+		"Kv-Backup: 1.2.3.4:5", "Kv-From: 1.2.3.4:5/x", "Kv-Fetch: 1.2.3.4:5", "Expect-Version: 3", "Connection: X-Hop", "X-Hop: 1", "Model: m")
+	seen := app.Received()[0].Header
+	require.Equal(t, "org-one", seen.Get("Tenant"))
+	require.Equal(t, "app-0", seen.Get("Expect-Instance"))
+	require.Equal(t, "m", seen.Get("Model"))
+	for _, name := range []string{"Authorization", "Request-Priority", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Expect-Version", "X-Hop"} {
+		require.Empty(t, seen.Get(name), name)
+	}
+}
+
+func TestRefusalsOfTheGateway(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	tests := []struct {
+		name   string
+		path   string
+		header string
+		body   string
+		status int
+	}{
+		{"no route", "/nowhere/", "", "", http.StatusNotFound},
+		{"unknown key", plain, "Authorization: Bearer other", "", http.StatusUnauthorized},
+		{"malformed deadline", plain, "Deadline-Ms: soon", "", http.StatusBadRequest},
+		{"malformed prompt", plain, "Prompt-Prefix: zz:1", "", http.StatusBadRequest},
+		{"large body", plain, "", strings.Repeat("x", 100001), http.StatusRequestEntityTooLarge},
+		{"no server", chat, "", "", http.StatusServiceUnavailable},
+	}
+	for ix, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var headers []string
+			if test.header != "" {
+				headers = append(headers, test.header)
+			}
+			got := fx.post(test.path, fmt.Sprint("r-", ix), test.body, headers...)
+			require.Equal(t, test.status, got.status)
+		})
+	}
+	require.Zero(t, arrivals(app))
+}
+
+func TestFailedLookUpIsSentToAnotherServer(t *testing.T) {
+	var calls atomic.Int64
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		if calls.Add(1) == 1 {
+			co.Answer(rq, http.StatusInternalServerError, "failed")
+			return true
+		}
+		co.Answer(rq, http.StatusOK, "quote")
+		return true
+	}
+	one, two := startServer(t, script), startServer(t, script)
+	fx := newFixture(t, []*fakeserver.Server{one, two}, nil)
+	got := fx.get(plain, "r-1")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Len(t, one.Received(), 1)
+	require.Len(t, two.Received(), 1)
+}
+
+// TestNonIdempotentRunsAtMostOnce plays every way in which a server may break off
+// after it has seen the request.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	faults := map[string]fakeserver.Script{
+		"reset": func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Reset(); return false },
+		"close": func(*fakeserver.Conn, fakeserver.Received) bool { return false },
+		"short body": func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\nContent-Length: 10\r\n\r\nabc", rq.ID)
+			return false
+		},
+		"garbage": func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Printf("no answer\r\n\r\n"); return false },
+		"unsigned": func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 2\r\n\r\nok", rq.ID)
+			return false
+		},
+		"another request's answer": func(co *fakeserver.Conn, _ fakeserver.Received) bool {
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nUpstream-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+			return false
+		},
+		"unframed and reset": func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\n\r\nhalf", rq.ID)
+			co.Reset()
+			return false
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			one, two := startServer(t, fault), startServer(t, fault)
+			fx := newFixture(t, []*fakeserver.Server{one, two}, nil)
+			got := fx.post(once, "r-1", "order")
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, got.status)
+			require.Equal(t, 1, arrivals(one, two))
+		})
+	}
+}
+
+func TestNonIdempotentIsSentOnAfterARejection(t *testing.T) {
+	var calls atomic.Int64
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		if calls.Add(1) == 1 {
+			co.Printf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", rq.ID)
+			return true
+		}
+		co.Answer(rq, http.StatusOK, "done")
+		return true
+	}
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, script), startServer(t, script)}, nil)
+	require.Equal(t, http.StatusOK, fx.post(once, "r-1", "order").status)
+	require.EqualValues(t, 2, calls.Load())
+}
+
+func TestServerThatIsNotThereIsPassedOver(t *testing.T) {
+	gone := startServer(t, answers("never"))
+	app := startServer(t, answers("done"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.list("app-gone", "app", freeAddress(t), "ready")
+	_ = gone
+	for ix := range 6 {
+		require.Equal(t, http.StatusOK, fx.post(once, fmt.Sprint("r-", ix), "order").status)
+	}
+	require.Equal(t, 6, arrivals(app))
+}
+
+func TestMisdirectedRequestGoesElsewhere(t *testing.T) {
+	other := startServer(t, func(co *fakeserver.Conn, _ fakeserver.Received) bool {
+		co.Printf("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: i-other\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	app := startServer(t, answers("done"))
+	fx := newFixture(t, []*fakeserver.Server{other, app}, nil)
+	for ix := range 4 {
+		require.Equal(t, http.StatusOK, fx.post(once, fmt.Sprint("r-", ix), "order").status)
+	}
+	require.Equal(t, 4, arrivals(app))
+}
+
+func TestLateExtraAnswerIsSkipped(t *testing.T) {
+	var calls atomic.Int64
+	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		if calls.Add(1) == 2 {
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nUpstream-Signature: sig-r-1\r\nContent-Length: 3\r\n\r\nold")
+		}
+		co.Answer(rq, http.StatusOK, "for "+rq.ID)
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	for ix := 1; ix < 5; ix++ {
+		id := fmt.Sprint("r-", ix)
+		got := fx.get(plain, id)
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "for "+id, got.body)
+		require.Equal(t, "sig-"+id, got.header.Get("Upstream-Signature"))
+	}
+}
+
+func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
+	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Answer(rq, http.StatusOK, "ok")
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: x\r\nContent-Length: 1\r\n\r\nx")
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	for ix := range 4 {
+		got := fx.post(once, fmt.Sprint("r-", ix), "order")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, "ok", got.body)
+	}
+}
+
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Answer(rq, http.StatusRequestEntityTooLarge, "too long")
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	got := fx.post(once, "r-1", strings.Repeat("y", 90000))
+	require.Equal(t, http.StatusRequestEntityTooLarge, got.status)
+	require.Equal(t, "sig-r-1", got.header.Get("Upstream-Signature"))
+}
+
+func TestCallerThatLeavesEndsTheRun(t *testing.T) {
+	started, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	engine := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		co.Event(1)
+		started <- struct{}{}
+		co.Gone()
+		ended <- struct{}{}
+		return false
+	})
+	fx := newFixture(t, nil, []*fakeserver.Server{engine})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-started
+		cancel()
+	}()
+	fx.send(ctx, http.MethodPost, chat, "r-1", "prompt")
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the engine's connection stayed open")
+	}
+}
+
+func TestRouteTimeoutEndsTheRequest(t *testing.T) {
+	app := startServer(t, func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Gone(); return false })
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.configure(func(content map[string]any) {
+		content["routes"].([]any)[1].(map[string]any)["timeout_ms"] = 200
+	})
+	got := fx.post(once, "r-1", "order")
+	require.Equal(t, http.StatusGatewayTimeout, got.status, "it may have run, so it isn't refused")
+}
+
+func TestDeadlineShrinks(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.get(plain, "r-1", "Deadline-Ms: 4000")
+	var left int
+	_, err := fmt.Sscan(app.Received()[0].Header.Get("Deadline-Ms"), &left)
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 4000)
+	require.Positive(t, left)
+}
+
+func TestStreamIsResumedBehindTheLastWholeEvent(t *testing.T) {
+	for name, breakOff := range map[string]func(*fakeserver.Conn){
+		"reset":            func(co *fakeserver.Conn) { co.Reset() },
+		"close":            func(*fakeserver.Conn) {},
+		"inside an event":  func(co *fakeserver.Conn) { co.Chunk("id: 4\ndata: pie") },
+		"an event missing": func(co *fakeserver.Conn) { co.Event(5) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+				first, last := 1, 3
+				if calls.Add(1) > 1 {
+					if _, err := fmt.Sscan(rq.Header.Get("Last-Event-Id"), &first); err != nil {
+						return false
+					}
+					first, last = first+1, 6
+				}
+				co.Begin(rq)
+				for id := first; id <= last; id++ {
+					co.Event(id)
+				}
+				if last == 6 {
+					co.End()
+					return true
+				}
+				breakOff(co)
+				return false
+			}
+			one, two := startServer(t, script), startServer(t, script)
+			fx := newFixture(t, nil, []*fakeserver.Server{one, two})
+			got := fx.post(chat, "r-1", "prompt")
+			require.NoError(t, got.err)
+			var want strings.Builder
+			for id := 1; id <= 6; id++ {
+				fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", id, id)
+			}
+			require.Equal(t, want.String(), got.body)
+			require.Len(t, one.Received(), 1)
+			require.Len(t, two.Received(), 1)
+		})
+	}
+}
+
+func TestStreamThatMayNotBeResumedEndsBroken(t *testing.T) {
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		co.Event(1)
+		return false
+	}
+	one, two := startServer(t, script), startServer(t, script)
+	fx := newFixture(t, nil, []*fakeserver.Server{one, two})
+	got := fx.post(firm, "r-1", "prompt")
+	require.ErrorIs(t, got.err, io.ErrUnexpectedEOF, "it must not look complete")
+	require.Equal(t, 1, arrivals(one, two))
+}
+
+func TestStreamThatFallsSilentIsResumed(t *testing.T) {
+	var calls atomic.Int64
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		if calls.Add(1) == 1 {
+			co.Event(1)
+			co.Gone()
+			return false
+		}
+		co.Event(2)
+		co.End()
+		return true
+	}
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, script), startServer(t, script)})
+	fx.configure(func(content map[string]any) {
+		content["routes"].([]any)[2].(map[string]any)["gap_aim_ms"] = 50
+	})
+	got := fx.post(chat, "r-1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", got.body)
+}
+
+func TestSmuggledRequestReachesNobody(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	nc, reader := fx.raw()
+	inner := "GET " + plain + "inner HTTP/1.1\r\nHost: " + host + "\r\nRequest-Id: r-inner\r\nAuthorization: Bearer " + key + "\r\n\r\n"
+	_, err := fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r-1\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s",
+		plain, host, key, len(inner)+5, inner)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.NoError(t, err)
+	_, err = reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "a request with two lengths ends its connection")
+	for _, rq := range app.Received() {
+		require.NotEqual(t, "r-inner", rq.ID)
+	}
+}
+
+func TestLeavingServerGetsNoMoreWork(t *testing.T) {
+	one, two := startServer(t, answers("one")), startServer(t, answers("two"))
+	fx := newFixture(t, []*fakeserver.Server{one, two}, nil)
+	fx.list("app-0", "app", one.Address(), "draining")
+	fx.eventually(func() bool { return fx.gateway.Takers("app") == 1 })
+	before := arrivals(one)
+	for ix := range 6 {
+		fx.get(plain, fmt.Sprint("r-", ix))
+	}
+	require.Equal(t, before, arrivals(one))
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.configure(func(content map[string]any) {
+		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
+	})
+	fx.store.Put("op/config", configuration(1))
+	fx.store.Put("op/config", []byte(`{"version": 99, "routes": [{"name": "x", "kind": "odd"}]}`))
+	fx.configure(func(content map[string]any) {
+		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
+	})
+	require.Equal(t, http.StatusUnauthorized, fx.get(plain, "r-1").status)
+	require.Equal(t, http.StatusOK, fx.get(plain, "r-2", "Authorization: Bearer key-two").status)
+}
+
+func TestHostThatTheStoreTurnsAwayLearnsFromOthers(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	second := &fixture{t: t, store: fx.store, logs: &logBuffer{}, settings: fx.settings}
+	second.settings.Host, second.settings.DataCentre = "host-2", "dc-2"
+	second.settings.Callers, second.settings.Readiness = freeAddress(t), freeAddress(t)
+	second.settings.Peers, second.settings.Metrics, second.settings.Loads = freeAddress(t), freeAddress(t), freeAddress(t)
+	second.settings.Seeds = []string{fx.settings.Peers}
+	second.settings.Store = freeAddress(t) // nobody listens there
+	second.start()
+	fx.configure(func(content map[string]any) {
+		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
+	})
+	fx.eventually(func() bool { return int(second.gateway.Version()) == fx.version })
+	require.Equal(t, http.StatusOK, second.get(plain, "r-1", "Authorization: Bearer key-two").status)
+}
+
+func TestWatchThatHearsNothingIsMadeUpFor(t *testing.T) {
+	app := startServer(t, answers("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.store.SetDeaf(true)
+	fx.configure()
+}
+
+func TestDrainFinishesWhatIsInProgress(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		close(begun)
+		<-release
+		co.Answer(rq, http.StatusOK, "done")
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	got := make(chan reply, 1)
+	go func() { got <- fx.post(once, "r-1", "order") }()
+	<-begun
+	drained := make(chan error, 1)
+	go func() { drained <- fx.gateway.Drain(context.Background()) }()
+	fx.eventually(func() bool { return !fx.gateway.Ready() })
+	close(release)
+	answer := <-got
+	require.Equal(t, http.StatusOK, answer.status)
+	require.Equal(t, "done", answer.body)
+	require.NoError(t, <-drained)
+}
+
+func TestFailureIsExplainedByItsLines(t *testing.T) {
+	app := startServer(t, func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Reset(); return false })
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	require.Equal(t, http.StatusBadGateway, fx.post(once, "r-1", "order").status)
+	lines := fx.logs.events("r-1")
+	require.Equal(t, "app-0", lines["placed"]["server"])
+	require.Contains(t, lines["placed"], "list_age_ms")
+	require.Contains(t, lines["placed"], "version")
+	require.Equal(t, true, lines["attempt_failed"]["reached"])
+	require.Equal(t, "outcome_unknown", lines["attempt_failed"]["outcome"])
+	require.Equal(t, "backend_failed", lines["refused"]["kind"])
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -24,7 +24,9 @@
 	re := &request{rw: rw, rq: rq, arrived: ga.clock.Now(), snapshot: ga.view.Load()}
 	ga.inFlight.Add(1)
 	defer ga.inFlight.Add(-1)
-	if ga.stopping.Load() {
+	if ga.stopping.Load() || len(rq.TransferEncoding) > 0 {
+		// net/http doesn't tell whether a body in chunks came with a length too.
+		// What follows such a body may be meant as part of it, so it isn't read.
 		rw.Header().Set("Connection", "close")
 	}
 	ga.awaitConfiguration(re)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,20 +118,34 @@
 var eventEnd = []byte("\n\n")
 
 // passEvents writes whole events to the caller, after the header if they are the
-// first.
+// first. Events before one that doesn't follow are still passed on, so that the
+// stream can go on behind them.
 func (ga *Gateway) passEvents(re *request, ex *backend.Exchange, events []byte) error {
 	if re.stream == nil {
 		ga.beginStream(re, ex)
 	}
-	for rest := events; len(rest) > 0; {
-		end := bytes.Index(rest, eventEnd) + len(eventEnd)
-		if err := re.stream.note(rest[:end]); err != nil {
-			return errors.Trace(err)
+	good, fault := re.stream.follow(events)
+	if len(good) > 0 {
+		re.stream.passed(ga.clock.Now())
+		if err := ga.write(re, good); err != nil {
+			return err
 		}
-		rest = rest[end:]
 	}
-	re.stream.passed(ga.clock.Now())
-	return ga.write(re, events)
+	return fault
+}
+
+// follow records whole events and returns those that follow each other, with an
+// error if one doesn't.
+func (st *streamState) follow(events []byte) ([]byte, error) {
+	length := 0
+	for length < len(events) {
+		end := length + bytes.Index(events[length:], eventEnd) + len(eventEnd)
+		if err := st.note(events[length:end]); err != nil {
+			return events[:length], errors.Trace(err)
+		}
+		length = end
+	}
+	return events, nil
 }
 
 // beginStream writes the header of the first server's answer.
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// Count returns how many servers of a service may get requests.
+func (pl *Placer) Count(service mp.ServiceName) int { return len(pl.services[service]) }
+
 // Choose returns a server for the work, false if there is none.
 func (pl *Placer) Choose(now time.Time, wo *Work) (Choice, bool) {
 	candidates := pl.candidates(now, wo)
