--- a/placement/placer.go
+++ b/placement/placer.go
@@ -200,6 +200,10 @@
 // time.
 const slotCost = 10 * time.Millisecond
 
+// costStep is by how much expected times must differ to matter. Without it a
+// server that failed long ago would never be tried again.
+const costStep = 2 * time.Millisecond
+
 // chooseReplica returns the plain server with the least expected time.
 func (pl *Placer) chooseReplica(now time.Time, candidates []*server) Choice {
 	best, ties := candidates[0], 0
@@ -207,6 +211,7 @@
 	for _, se := range candidates {
 		expected := roundTrip[se.Distance] + time.Duration(se.inFlight)*slotCost +
 			time.Duration(se.failureShare(now)*float64(failureCost))
+		expected = expected.Round(costStep)
 		switch {
 		case ties == 0 || expected < least:
 			best, least, ties = se, expected, 1
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,65 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "github.com/mangopaddle/mangopaddle/fixedseed"
+	"github.com/mangopaddle/mangopaddle/retry"
+)
+
+// TestWindowHoldsInEverySpan draws requests and retries at random times and
+// checks every span of the window's length.
+func TestWindowHoldsInEverySpan(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		slack = 2.0
+	)
+	rapid.Check(t, func(rt *rapid.T) {
+		wi := retry.NewWindow(span, ratio, slack)
+		now := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "request") {
+				wi.Request(now)
+				requests = append(requests, now)
+			} else if wi.Withdraw(now) {
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			// The requests of the span before count too, as buckets are whole.
+			used, earned := within(retries, end, span-span/10), within(requests, end, span)
+			if float64(used) > ratio*float64(earned)+slack {
+				rt.Fatalf("%d retries for %d requests", used, earned)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, end time.Time, span time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if !at.After(end) && end.Sub(at) <= span {
+			count++
+		}
+	}
+	return count
+}
+
+func TestWindowForgets(t *testing.T) {
+	wi := retry.NewWindow(10*time.Second, 0.5, 0)
+	now := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
+	for range 4 {
+		wi.Request(now)
+	}
+	require.True(t, wi.Withdraw(now))
+	require.True(t, wi.Withdraw(now))
+	require.False(t, wi.Withdraw(now))
+	require.False(t, wi.Withdraw(now.Add(time.Hour)))
+}
