Serve counters and latency histograms; lint

Cause: the metrics address served two counters written by hand.

Change: tally scopes with counters by kind and status, histograms of answers and first events, gauges of version, age of the list, hosts known and dropped log lines.

Ruled out: a scope looked up by tags at each answer, which costs more than to count.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -125,7 +125,7 @@
 		ex.Abort()
 		return nil, errors.Trace(err)
 	}
-	response, err := co.read(rq, matches)
+	response, err := co.read(rq, matches) //nolint:bodyclose // the exchange closes its connection
 	if err != nil {
 		ex.Abort()
 		return nil, errors.Trace(err)
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -129,16 +129,15 @@
 	return co
 }
 
-// push keeps an idle connection. It reports whether there was room.
-func (po *Pool) push(co *Conn) bool {
+// push keeps an idle connection, or closes it if there is no room.
+func (po *Pool) push(co *Conn) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	if po.closed || len(po.idle[co.address]) >= maxIdle {
 		_ = co.net.Close()
-		return false
+		return
 	}
 	po.idle[co.address] = append(po.idle[co.address], co)
-	return true
 }
 
 // put keeps a connection after an exchange. The server's idle timeout is zero
--- a/cmd/mangopaddle/gateway.go
+++ b/cmd/mangopaddle/gateway.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	ga, stop, err := gateway.New(settings, gateway.WithLogger(logger))
+	ga, stop, err := gateway.New(settings, gateway.WithLogger(logger), gateway.WithDropped(out.Dropped))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -260,6 +260,7 @@
 	if reason != nil {
 		outcome = reason.Kind.String()
 	}
+	ga.counters.attemptFailed(outcome)
 	re.log(ga.logger.Info(), "attempt_failed").Str("server", string(ch.Server.ID)).Str("route", string(re.route.Name)).
 		Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Bool("reached", res.reached).
 		Str("cause", res.err.Error()).Str("outcome", outcome).Dur("took_ms", ga.clock.Since(re.arrived)).Msg("attempt failed")
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -1,52 +1,99 @@
 package gateway
 
 import (
-	"fmt"
-	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/routing"
 )
 
-// counters are the metrics of the host.
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second, 15 * time.Second,
+}
+
+// counters are the metrics of the host. Scopes are kept by tag, because to look
+// one up costs more than to count.
 type counters struct {
-	mu       sync.Mutex
-	refusals map[mp.Kind]int64
-	answers  map[int]int64
-	streams  int64
+	scope tally.Scope
+
+	mu      sync.Mutex
+	answers map[string]tally.Counter
+	kinds   map[mp.Kind]tally.Counter
+	latency map[routing.Kind]tally.Histogram
+	first   tally.Histogram
 }
 
-func newCounters() *counters {
-	return &counters{refusals: map[mp.Kind]int64{}, answers: map[int]int64{}}
+func newCounters(scope tally.Scope) *counters {
+	return &counters{
+		scope:   scope,
+		answers: map[string]tally.Counter{},
+		kinds:   map[mp.Kind]tally.Counter{},
+		latency: map[routing.Kind]tally.Histogram{},
+		first:   scope.Histogram("stream_first_event_seconds", latencyBuckets),
+	}
 }
 
+// refused counts a request that got the host's own answer.
 func (co *counters) refused(kind mp.Kind) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.refusals[kind]++
+	counter, ok := co.kinds[kind]
+	if !ok {
+		counter = co.scope.Tagged(map[string]string{"kind": kind.String()}).Counter("requests_refused")
+		co.kinds[kind] = counter
+	}
+	counter.Inc(1)
 }
 
-func (co *counters) answered(_ *routing.Route, status int, _ time.Duration) {
+// answered counts an answer of a backend server that was passed on.
+func (co *counters) answered(re *request, status int, took time.Duration) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.answers[status]++
+	kind := re.route.Kind
+	key := kind.String() + strconv.Itoa(status)
+	counter, ok := co.answers[key]
+	if !ok {
+		counter = co.scope.Tagged(map[string]string{"kind": kind.String(), "status": strconv.Itoa(status)}).Counter("requests_answered")
+		co.answers[key] = counter
+	}
+	counter.Inc(1)
+	latency, ok := co.latency[kind]
+	if !ok {
+		latency = co.scope.Tagged(map[string]string{"kind": kind.String()}).Histogram("request_seconds", latencyBuckets)
+		co.latency[kind] = latency
+	}
+	latency.RecordDuration(took)
+	if re.stream != nil && !re.stream.firstAt.IsZero() {
+		co.first.RecordDuration(re.stream.firstAt.Sub(re.arrived))
+	}
+}
+
+// attemptFailed counts a failed attempt and whether another one followed.
+func (co *counters) attemptFailed(outcome string) {
+	co.scope.Tagged(map[string]string{"outcome": outcome}).Counter("attempts_failed").Inc(1)
 }
 
+// broken counts a stream that ended before its end.
 func (co *counters) broken() {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	co.streams++
+	co.scope.Counter("streams_broken").Inc(1)
 }
 
-func (ga *Gateway) serveMetrics(rw http.ResponseWriter, _ *http.Request) {
-	ga.counters.mu.Lock()
-	defer ga.counters.mu.Unlock()
-	for kind, count := range ga.counters.refusals {
-		fmt.Fprintf(rw, "mangopaddle_refused{kind=%q} %d\n", kind, count)
-	}
-	for status, count := range ga.counters.answers {
-		fmt.Fprintf(rw, "mangopaddle_answered{status=\"%d\"} %d\n", status, count)
+// report sets the gauges.
+func (ga *Gateway) report() {
+	snapshot := ga.view.Load()
+	scope := ga.counters.scope
+	scope.Gauge("configuration_version").Update(float64(snapshot.Version()))
+	if !snapshot.ListAt.IsZero() {
+		scope.Gauge("list_age_seconds").Update(ga.clock.Since(snapshot.ListAt).Seconds())
 	}
+	scope.Gauge("requests_in_flight").Update(float64(ga.inFlight.Load()))
+	scope.Gauge("hosts_known").Update(float64(ga.peers.Count()))
+	scope.Gauge("backend_connections_opened").Update(float64(ga.backends.Dialed()))
+	scope.Gauge("log_lines_dropped").Update(float64(ga.dropped()))
 }
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -47,19 +47,19 @@
 // configuration returns the operator's configuration of a version. The services
 // are "engines" and "app".
 func configuration(version int, changes ...func(map[string]any)) []byte {
-	route := func(name, prefix, kind, service string, attempts, timeout int, resumable bool) map[string]any {
+	route := func(name, prefix, kind, service string, timeout int, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout,
-			"target_latency_ms": 1000, "priority": 1, "max_attempts": attempts, "resumable": resumable, "gap_aim_ms": 2000,
+			"target_latency_ms": 1000, "priority": 1, "max_attempts": 2, "resumable": resumable, "gap_aim_ms": 2000,
 		}
 	}
 	content := map[string]any{
 		"version": version,
 		"routes": []any{
-			route("plain", plain, "idempotent", "app", 2, 8000, false),
-			route("once", once, "non_idempotent", "app", 2, 8000, false),
-			route("chat", chat, "streaming", "engines", 2, 15000, true),
-			route("firm", firm, "streaming", "engines", 2, 15000, false),
+			route("plain", plain, "idempotent", "app", 8000, false),
+			route("once", once, "non_idempotent", "app", 8000, false),
+			route("chat", chat, "streaming", "engines", 15000, true),
+			route("firm", firm, "streaming", "engines", 15000, false),
 		},
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 100},
@@ -82,7 +82,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
 
@@ -181,8 +181,9 @@
 	return reply{status: response.StatusCode, header: response.Header, body: string(content), err: err}
 }
 
-func (fx *fixture) get(path, id string, headers ...string) reply {
-	return fx.send(context.Background(), http.MethodGet, path, id, "", headers...)
+// get asks the idempotent route.
+func (fx *fixture) get(id string, headers ...string) reply {
+	return fx.send(context.Background(), http.MethodGet, plain, id, "", headers...)
 }
 
 func (fx *fixture) post(path, id, body string, headers ...string) reply {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
+	"github.com/mangopaddle/mangopaddle/metrics"
 	"github.com/mangopaddle/mangopaddle/peer"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
@@ -46,6 +47,7 @@
 	follower *follow.Follower
 	backends *backend.Pool
 	counters *counters
+	dropped  func() int64 // log lines
 
 	placerMu sync.Mutex
 	placer   *placement.Placer
@@ -85,6 +87,11 @@
 	return func(ga *Gateway) { ga.logger = logger }
 }
 
+// WithDropped sets a function that counts the log lines that were dropped.
+func WithDropped(dropped func() int64) Option {
+	return func(ga *Gateway) { ga.dropped = dropped }
+}
+
 // New starts a host and returns it with a function that ends it at once. For a
 // graceful shutdown call Drain first.
 func New(settings Settings, opts ...Option) (*Gateway, func(), error) {
@@ -96,7 +103,7 @@
 		clock:    clockwork.NewRealClock(),
 		logger:   zerolog.Nop(),
 		view:     follow.NewView(),
-		counters: newCounters(),
+		dropped:  func() int64 { return 0 },
 		sheets:   peer.NewSheets(settings.Host),
 		budgets:  map[mp.ServiceName]*retry.Window{},
 		failed:   make(chan error, 4),
@@ -114,6 +121,12 @@
 }
 
 func (ga *Gateway) start() error {
+	scope, exposition, closeMetrics, err := metrics.New()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ga.addCleanup(closeMetrics)
+	ga.counters = newCounters(scope)
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
@@ -124,7 +137,6 @@
 		follow.WithRank(ga.rank), follow.WithInterval(ga.settings.readInterval()))
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
-	ga.every(pruneInterval, ga.maintain)
 	self := peer.Member{Address: peer.Address(ga.settings.Peers), DataCentre: ga.settings.DataCentre}
 	peers, stopPeers, err := peer.New(self, addresses(ga.settings.Seeds), ga,
 		peer.WithClock(ga.clock), peer.WithLogger(ga.logger))
@@ -139,6 +151,7 @@
 		return errors.Trace(err)
 	}
 	ga.addCleanup(stopLoads)
+	ga.every(pruneInterval, ga.maintain)
 
 	callers := newServer(http.HandlerFunc(ga.serveCaller))
 	ga.callers = callers
@@ -148,7 +161,7 @@
 	}{
 		{"callers", ga.settings.Callers, callers},
 		{"readiness", ga.settings.Readiness, newServer(http.HandlerFunc(ga.serveReadiness))},
-		{"metrics", ga.settings.Metrics, newServer(http.HandlerFunc(ga.serveMetrics))},
+		{"metrics", ga.settings.Metrics, newServer(exposition)},
 	}
 	for _, li := range listeners {
 		if err := ga.listen(li.address, li.server); err != nil {
@@ -204,6 +217,7 @@
 	}
 	ga.maintainedAt = now
 	ga.backends.Prune()
+	ga.report()
 }
 
 // every calls a function at an interval until the host ends.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,7 +32,7 @@
 func TestHeadersThatOnlyTheSystemSets(t *testing.T) {
 	app := startServer(t, answers("ok"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
-	fx.get(plain, "r-1", "Tenant: other", "Expect-Instance: other", "Request-Priority: 0", "Kv-Hold: h", "Pin-Ms: 9",
+	fx.get("r-1", "Tenant: other", "Expect-Instance: other", "Request-Priority: 0", "Kv-Hold: h", "Pin-Ms: 9",
 		"Kv-Backup: 1.2.3.4:5", "Kv-From: 1.2.3.4:5/x", "Kv-Fetch: 1.2.3.4:5", "Expect-Version: 3", "Connection: X-Hop", "X-Hop: 1", "Model: m")
 	seen := app.Received()[0].Header
 	require.Equal(t, "org-one", seen.Get("Tenant"))
@@ -85,7 +85,7 @@
 	}
 	one, two := startServer(t, script), startServer(t, script)
 	fx := newFixture(t, []*fakeserver.Server{one, two}, nil)
-	got := fx.get(plain, "r-1")
+	got := fx.get("r-1")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Len(t, one.Received(), 1)
 	require.Len(t, two.Received(), 1)
@@ -179,7 +179,7 @@
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
 	for ix := 1; ix < 5; ix++ {
 		id := fmt.Sprint("r-", ix)
-		got := fx.get(plain, id)
+		got := fx.get(id)
 		require.Equal(t, http.StatusOK, got.status)
 		require.Equal(t, "for "+id, got.body)
 		require.Equal(t, "sig-"+id, got.header.Get("Upstream-Signature"))
@@ -248,7 +248,7 @@
 func TestDeadlineShrinks(t *testing.T) {
 	app := startServer(t, answers("ok"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
-	fx.get(plain, "r-1", "Deadline-Ms: 4000")
+	fx.get("r-1", "Deadline-Ms: 4000")
 	var left int
 	_, err := fmt.Sscan(app.Received()[0].Header.Get("Deadline-Ms"), &left)
 	require.NoError(t, err)
@@ -360,7 +360,7 @@
 	fx.eventually(func() bool { return fx.gateway.Takers("app") == 1 })
 	before := arrivals(one)
 	for ix := range 6 {
-		fx.get(plain, fmt.Sprint("r-", ix))
+		fx.get(fmt.Sprint("r-", ix))
 	}
 	require.Equal(t, before, arrivals(one))
 }
@@ -376,8 +376,8 @@
 	fx.configure(func(content map[string]any) {
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
 	})
-	require.Equal(t, http.StatusUnauthorized, fx.get(plain, "r-1").status)
-	require.Equal(t, http.StatusOK, fx.get(plain, "r-2", "Authorization: Bearer key-two").status)
+	require.Equal(t, http.StatusUnauthorized, fx.get("r-1").status)
+	require.Equal(t, http.StatusOK, fx.get("r-2", "Authorization: Bearer key-two").status)
 }
 
 func TestHostThatTheStoreTurnsAwayLearnsFromOthers(t *testing.T) {
@@ -394,7 +394,7 @@
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
 	})
 	fx.eventually(func() bool { return int(second.gateway.Version()) == fx.version })
-	require.Equal(t, http.StatusOK, second.get(plain, "r-1", "Authorization: Bearer key-two").status)
+	require.Equal(t, http.StatusOK, second.get("r-1", "Authorization: Bearer key-two").status)
 }
 
 func TestWatchThatHearsNothingIsMadeUpFor(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -207,7 +207,7 @@
 // logEnd writes the line of an answer that was passed on.
 func (ga *Gateway) logEnd(re *request, server mp.ServerID, status int, err error) {
 	took := ga.clock.Since(re.arrived)
-	ga.counters.answered(re.route, status, took)
+	ga.counters.answered(re, status, took)
 	line := re.log(ga.logger.Info(), "answered").Str("server", string(server)).Int("status", status).
 		Int("attempts", re.attempts).Dur("took_ms", took)
 	if st := re.stream; st != nil && !st.firstAt.IsZero() {
--- a/peer/node.go
+++ b/peer/node.go
@@ -251,7 +251,7 @@
 		return errors.Trace(err)
 	}
 	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.HandlerWithError(no.handle))
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	asked := no.clock.Now()
 	told, err := no.call(ctx, conn, no.know(Knowledge{Freshness: Freshness{Version: unknownVersion, ListRevision: unknownVersion}}))
 	if err != nil {
