Send urgent requests to another engine before they are refused

A request was refused when its cheapest engine was late, though others were not.

Change: a request with short shared parts goes to the cheapest engine that is not late; patience is 0.35 of the target for the second priority and 0.15 below. The new test fails on the code before.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -21,27 +21,47 @@
 )
 
 // chooseEngine returns the engine with the least cost: the expected time until
-// the work begins, and what it takes from others.
+// the work begins, and what it takes from others. If the work would begin too
+// late there, and its shared parts are short, it goes to the best engine where it
+// would not.
 func (pl *Placer) chooseEngine(now time.Time, wo *Work, candidates []*server) Choice {
 	shared, key := wo.shared()
 	home := homeOf(divide(candidates, wo.Steady), key, shared)
-	var best Choice
-	var least time.Duration
+	var best, timely priced
 	for _, se := range candidates {
 		ch := pl.expect(now, wo, se, shared, se == home)
-		cost := ch.Expected + pl.spent(wo, se, ch, shared)
-		if best.Server.ID == "" || cost < least {
-			best, least = ch, cost
+		offer := priced{Choice: ch, cost: ch.Expected + pl.spent(wo, se, ch, shared)}
+		best = best.cheaper(offer)
+		if ch.Late(wo) <= 0 {
+			timely = timely.cheaper(offer)
 		}
 	}
-	return best
+	if best.Late(wo) > 0 && timely.Server.ID != "" && shared <= heavyShared {
+		return timely.Choice
+	}
+	return best.Choice
+}
+
+// priced is a choice with its cost.
+type priced struct {
+	Choice
+	cost time.Duration
+}
+
+// cheaper returns the one with the lower cost; the zero value costs more than
+// any.
+func (pr priced) cheaper(other priced) priced {
+	if pr.Server.ID == "" || other.cost < pr.cost {
+		return other
+	}
+	return pr
 }
 
 // patience is the part of the target that a request of a priority may spend
 // behind the prompts that are to be read before its own; the last one holds for
 // all lower ones. When engines can't read all prompts in time, the lower
 // priorities are refused first, while what is more urgent still begins in time.
-var patience = [...]float64{1.5, 0.4, 0.2}
+var patience = [...]float64{1.5, 0.35, 0.15}
 
 // lastPart is the part of the time left within which any request must be expected
 // to begin.
