--- a/cmd/mangopaddle/gateway.go
+++ b/cmd/mangopaddle/gateway.go
@@ -83,9 +83,9 @@
 		case err := <-ga.Failed():
 			return errors.Trace(err)
 		case <-hangups:
-			ga.Reload(gc.settings, "SIGHUP")
+			ga.Reload(gc.settings, true)
 		case <-ticker.C:
-			ga.Reload(gc.settings, "changed file")
+			ga.Reload(gc.settings, false)
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,8 +55,11 @@
 
 	peers *peer.Node
 
-	reloadMu     sync.Mutex
-	settingsData []byte // of the file that was read last
+	reloadMu sync.Mutex
+	// waiting are settings that need a restart and were logged; reloadFault is the
+	// last fault of the file that was logged.
+	waiting     Settings
+	reloadFault string
 
 	budgetMu sync.Mutex
 	budgets  map[mp.ServiceName]*retry.Window
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -438,3 +441,21 @@
 	require.Equal(t, "outcome_unknown", lines["attempt_failed"]["outcome"])
 	require.Equal(t, "backend_failed", lines["refused"]["kind"])
 }
+
+func TestReloadKeepsSettingsThatAreInForce(t *testing.T) {
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, answers("ok"))})
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	encoded, err := json.Marshal(fx.settings)
+	require.NoError(t, err)
+	write(string(encoded))
+	fx.gateway.Reload(path, false)
+	require.Zero(t, fx.logs.count("reloaded"), "nothing has changed")
+	fx.gateway.Reload(path, true)
+	require.Equal(t, 1, fx.logs.count("reloaded"))
+	write(`{"host":`)
+	fx.gateway.Reload(path, false)
+	fx.gateway.Reload(path, false)
+	require.Equal(t, 1, fx.logs.count("reload_failed"), "the same fault is logged once")
+	require.True(t, fx.gateway.Ready())
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -141,7 +141,7 @@
 	ga.counters.refused(err.Kind)
 	line := re.log(ga.logger.Info(), "refused").Str("kind", err.Kind.String()).Int("status", answer.Status).
 		Bool("may_have_run", re.mayHaveRun).Int("attempts", re.attempts).Dur("retry_after_ms", after).
-		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(re.snapshot.ListAt)).
+		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListAt)).
 		Dur("took_ms", ga.clock.Since(re.arrived)).Str("cause", err.Error())
 	if re.route != nil {
 		line = line.Str("route", string(re.route.Name)).Str("service", string(re.service))
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -32,3 +32,10 @@
 	}
 	return found
 }
+
+// count returns how many lines have an event.
+func (lb *logBuffer) count(event string) int {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return bytes.Count(lb.lines.Bytes(), []byte(`"event":"`+event+`"`))
+}
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -1,37 +1,38 @@
 package gateway
 
 import (
-	"bytes"
-	"os"
-
-	"github.com/juju/errors"
+	"reflect"
+	"slices"
 
 	"github.com/mangopaddle/mangopaddle/peer"
 )
 
-// Reload reads the settings file again if it has changed. Seeds come into force;
-// other changes need a restart and are logged. Settings that are not valid change
-// nothing.
-func (ga *Gateway) Reload(path, reason string) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		ga.logger.Error().Str("event", "reload_failed").Str("reason", reason).Err(err).Msg("the settings in force stay")
-		return
-	}
+// Reload reads the settings file again. Seeds come into force; other changes need
+// a restart. Settings that are not valid change nothing. Signalled says that the
+// operator asked for it; otherwise only a change is logged.
+func (ga *Gateway) Reload(path string, signalled bool) {
 	ga.reloadMu.Lock()
 	defer ga.reloadMu.Unlock()
-	if bytes.Equal(data, ga.settingsData) {
-		return
-	}
-	ga.settingsData = data
-	settings, err := DecodeSettings(data)
+	settings, err := ReadSettings(path)
 	if err != nil {
-		ga.logger.Error().Str("event", "reload_failed").Str("reason", reason).Err(errors.Annotatef(err, "settings file %s", path)).
-			Msg("the settings in force stay")
+		if text := err.Error(); text != ga.reloadFault || signalled {
+			ga.reloadFault = text
+			ga.logger.Error().Str("event", "reload_failed").Err(err).Msg("the settings in force stay")
+		}
 		return
 	}
+	ga.reloadFault = ""
+	seeds := !slices.Equal(settings.Seeds, ga.settings.Seeds)
+	ga.settings.Seeds = settings.Seeds
 	ga.peers.SetSeeds(addresses(settings.Seeds))
-	ga.logger.Info().Str("event", "reloaded").Str("reason", reason).Strs("seeds", settings.Seeds).Msg("settings in force")
+	restart := !reflect.DeepEqual(settings, ga.settings)
+	logged := reflect.DeepEqual(settings, ga.waiting)
+	ga.waiting = settings
+	if !signalled && !seeds && (!restart || logged) {
+		return
+	}
+	ga.logger.Info().Str("event", "reloaded").Bool("signalled", signalled).Strs("seeds", settings.Seeds).
+		Bool("needs_restart", restart).Msg("settings in force")
 }
 
 func addresses(texts []string) []peer.Address {
