--- a/placement/engine.go
+++ b/placement/engine.go
@@ -22,8 +22,8 @@
 
 // chooseEngine returns the engine with the least cost: the expected time until
 // the work begins, and what it takes from others. If the work would begin too
-// late there, and its shared parts are short, it goes to the best engine where it
-// would not.
+// late there, and its shared parts are short, it goes to the best engine of its
+// kind where it would not.
 func (pl *Placer) chooseEngine(now time.Time, wo *Work, candidates []*server) Choice {
 	shared, key := wo.shared()
 	home := homeOf(divide(candidates, wo.Steady), key, shared)
@@ -32,7 +32,7 @@
 		ch := pl.expect(now, wo, se, shared, se == home)
 		offer := priced{Choice: ch, cost: ch.Expected + pl.spent(wo, se, ch, shared)}
 		best = best.cheaper(offer)
-		if ch.Late(wo) <= 0 {
+		if ch.Late(wo) <= 0 && se.reserved == wo.Steady {
 			timely = timely.cheaper(offer)
 		}
 	}
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -168,6 +168,28 @@
 	require.LessOrEqual(t, ch.Late(work), time.Duration(0))
 }
 
+// TestEscapeLeavesReservedEnginesAlone plays prompts that are late everywhere but
+// on the engines that are kept for steady streams.
+func TestEscapeLeavesReservedEnginesAlone(t *testing.T) {
+	idle := map[mp.ServerID]bool{}
+	pl := placement.New(placement.WithOthers(func(id mp.ServerID) placement.Load {
+		if idle[id] {
+			return placement.Load{Streams: 20}
+		}
+		return placement.Load{Unread: 30_000}
+	}))
+	pl.SetServers(fleet(12, true))
+	stream := &placement.Work{Service: "engines", Tokens: 715, Steady: true, Target: time.Second}
+	first, _ := pl.Choose(start, stream)
+	idle[first.Server.ID] = true
+	work := &placement.Work{
+		Service: "engines", Prompt: []placement.Part{{ID: 9, Tokens: 568}, {ID: 10, Tokens: 1800}}, Tokens: 2368,
+		Target: time.Second, Left: 3 * time.Second, Priority: 1,
+	}
+	ch, _ := pl.Choose(start, work)
+	require.NotEqual(t, first.Server.ID, ch.Server.ID)
+}
+
 func TestLargePromptIsNotRefusedOnIdleEngines(t *testing.T) {
 	pl := placement.New()
 	pl.SetServers(fleet(12, false))
