--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,7 +58,8 @@
 		return ch, refusal
 	}
 	if late > 0 && !re.mayHaveRun {
-		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q, %v too late", ch.Expected, ch.Server.ID, late)
+		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q behind %v of other prompts, %v in the mean, %v too late",
+			ch.Expected, ch.Server.ID, ch.Wait, ch.MeanWait, late)
 		refusal.RetryAfter = re.comeBack(now, late)
 		return ch, refusal
 	}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -27,9 +27,11 @@
 func (pl *Placer) chooseEngine(now time.Time, wo *Work, candidates []*server) Choice {
 	shared, key := wo.shared()
 	home := homeOf(divide(candidates, wo.Steady), key, shared)
+	meanWait := pl.meanWait(candidates)
 	var best, timely priced
 	for _, se := range candidates {
 		ch := pl.expect(now, wo, se, shared, se == home)
+		ch.MeanWait = meanWait
 		offer := priced{Choice: ch, cost: ch.Expected + pl.spent(wo, se, ch, shared)}
 		best = best.cheaper(offer)
 		if ch.Late(wo) <= 0 && se.reserved == wo.Steady {
@@ -57,15 +59,50 @@
 	return pr
 }
 
-// patience is the part of the target that a request of a priority may spend
-// behind the prompts that are to be read before its own; the last one holds for
-// all lower ones. When engines can't read all prompts in time, the lower
-// priorities are refused first, while what is more urgent still begins in time.
-var patience = [...]float64{1.5, 0.35, 0.15}
+// strictPatience is the part of the target that a request of a priority may spend
+// behind the prompts that are to be read before its own, while all engines have
+// long queues; the last one holds for all lower ones. When engines can't read all
+// prompts in time, the lower priorities are refused first, while what is more
+// urgent still begins in time.
+var strictPatience = [...]float64{1.5, 0.35, 0.15}
 
-// lastPart is the part of the time left within which any request must be expected
-// to begin.
-const lastPart = 0.7
+// calmPatience is the same while the queues are short in the mean: one engine's
+// queue then passes, and the answer still comes in time.
+var calmPatience = [...]float64{1.5, 0.8, 0.6}
+
+const (
+	// calmWait and strictWait are the mean waits at the engines of a service up to
+	// which the one patience holds, and from which the other does.
+	calmWait   = 60 * time.Millisecond
+	strictWait = 180 * time.Millisecond
+	// lastPart is the part of the time left within which any request must be
+	// expected to begin.
+	lastPart = 0.7
+)
+
+// patience returns the part of the target that work of a priority may wait while
+// the engines of its service have a mean wait.
+func patience(priority int, meanWait time.Duration) float64 {
+	ix := min(max(0, priority), len(strictPatience)-1)
+	strictness := float64(meanWait-calmWait) / float64(strictWait-calmWait)
+	strictness = min(max(0, strictness), 1)
+	return calmPatience[ix] + strictness*(strictPatience[ix]-calmPatience[ix])
+}
+
+// meanWait returns the mean time that the prompts before a new one take at the
+// engines that are not kept for steady streams.
+func (pl *Placer) meanWait(engines []*server) time.Duration {
+	var total mp.Tokens
+	count := 0
+	for _, se := range engines {
+		if se.reserved {
+			continue
+		}
+		total += se.unread + pl.others(se.ID).Unread
+		count++
+	}
+	return readTime(total / mp.Tokens(max(1, count)))
+}
 
 // Late returns by how much the work is expected to begin too late at the chosen
 // engine; zero or less if it should be sent.
@@ -73,8 +110,7 @@
 	if !ch.Server.Engine {
 		return 0
 	}
-	limit := time.Duration(patience[min(max(0, wo.Priority), len(patience)-1)] * float64(wo.Target))
-	late := ch.Wait - limit
+	late := ch.Wait - time.Duration(patience(wo.Priority, ch.MeanWait)*float64(wo.Target))
 	if wo.Left > 0 {
 		late = max(late, ch.Expected-time.Duration(lastPart*float64(wo.Left)))
 	}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -62,6 +62,8 @@
 	Expected time.Duration
 	// Wait is the part of it that the prompts before this one take.
 	Wait time.Duration
+	// MeanWait is the mean of that at all engines of the service.
+	MeanWait time.Duration
 	// Home says that the shared parts of the prompt are expected in the engine's
 	// memory.
 	Home bool
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -190,6 +190,24 @@
 	require.NotEqual(t, first.Server.ID, ch.Server.ID)
 }
 
+// TestOneLongQueueIsNoOverload plays a burst on one part while the other engines
+// are idle: the answer would still come in time, so it isn't refused.
+func TestOneLongQueueIsNoOverload(t *testing.T) {
+	pl := placement.New()
+	pl.SetServers(fleet(12, false))
+	home, _ := pl.Choose(start, draft(7))
+	pl = placement.New(placement.WithOthers(func(id mp.ServerID) placement.Load {
+		if id == home.Server.ID {
+			return placement.Load{Unread: 20_000}
+		}
+		return placement.Load{}
+	}))
+	pl.SetServers(fleet(12, false))
+	ch, _ := pl.Choose(start, draft(7))
+	require.Equal(t, home.Server.ID, ch.Server.ID)
+	require.LessOrEqual(t, ch.Late(draft(7)), time.Duration(0))
+}
+
 func TestLargePromptIsNotRefusedOnIdleEngines(t *testing.T) {
 	pl := placement.New()
 	pl.SetServers(fleet(12, false))
