--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
@@ -24,7 +25,7 @@
 	got := fx.post(plain+"a%2Fb?x=1&y=%20", "r-1", "body")
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, "quote 7", got.body)
-	require.Equal(t, "sig-r-1", got.header.Get("Upstream-Signature"))
+	require.Equal(t, "sig-r-1", got.header.Get(platform.HeaderSignature))
 	require.Equal(t, "r-1", got.header.Get("Request-Id"))
 	seen := app.Received()[0]
 	require.Equal(t, plain+"a%2Fb?x=1&y=%20", seen.URI)
@@ -35,11 +36,11 @@
 func TestHeadersThatOnlyTheSystemSets(t *testing.T) {
 	app := startServer(t, answers("ok"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
-	fx.get("r-1", "Tenant: other", "Expect-Instance: other", "Request-Priority: 0", "Kv-Hold: h", "Pin-Ms: 9",
+	fx.get("r-1", "Tenant: other", platform.HeaderInstance+": other", "Request-Priority: 0", "Kv-Hold: h", "Pin-Ms: 9",
 		"Kv-Backup: 1.2.3.4:5", "Kv-From: 1.2.3.4:5/x", "Kv-Fetch: 1.2.3.4:5", "Expect-Version: 3", "Connection: X-Hop", "X-Hop: 1", "Model: m")
 	seen := app.Received()[0].Header
 	require.Equal(t, "org-one", seen.Get("Tenant"))
-	require.Equal(t, "app-0", seen.Get("Expect-Instance"))
+	require.Equal(t, "app-0", seen.Get(platform.HeaderInstance))
 	require.Equal(t, "m", seen.Get("Model"))
 	for _, name := range []string{"Authorization", "Request-Priority", "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Expect-Version", "X-Hop"} {
 		require.Empty(t, seen.Get(name), name)
@@ -59,7 +60,7 @@
 		{"no route", "/nowhere/", "", "", http.StatusNotFound},
 		{"unknown key", plain, "Authorization: Bearer other", "", http.StatusUnauthorized},
 		{"malformed deadline", plain, "Deadline-Ms: soon", "", http.StatusBadRequest},
-		{"malformed prompt", plain, "Prompt-Prefix: zz:1", "", http.StatusBadRequest},
+		{"malformed prompt", plain, platform.HeaderPrompt + ": zz:1", "", http.StatusBadRequest},
 		{"large body", plain, "", strings.Repeat("x", 100001), http.StatusRequestEntityTooLarge},
 		{"no server", chat, "", "", http.StatusServiceUnavailable},
 	}
@@ -101,7 +102,7 @@
 		"reset": func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Reset(); return false },
 		"close": func(*fakeserver.Conn, fakeserver.Received) bool { return false },
 		"short body": func(co *fakeserver.Conn, rq fakeserver.Received) bool {
-			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\nContent-Length: 10\r\n\r\nabc", rq.ID)
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"+platform.HeaderSignature+": s\r\nContent-Length: 10\r\n\r\nabc", rq.ID)
 			return false
 		},
 		"garbage": func(co *fakeserver.Conn, _ fakeserver.Received) bool { co.Printf("no answer\r\n\r\n"); return false },
@@ -110,11 +111,11 @@
 			return false
 		},
 		"another request's answer": func(co *fakeserver.Conn, _ fakeserver.Received) bool {
-			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nUpstream-Signature: s\r\nContent-Length: 2\r\n\r\nok")
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 2\r\n\r\nok")
 			return false
 		},
 		"unframed and reset": func(co *fakeserver.Conn, rq fakeserver.Received) bool {
-			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\n\r\nhalf", rq.ID)
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"+platform.HeaderSignature+": s\r\n\r\nhalf", rq.ID)
 			co.Reset()
 			return false
 		},
@@ -174,7 +175,7 @@
 	var calls atomic.Int64
 	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
 		if calls.Add(1) == 2 {
-			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nUpstream-Signature: sig-r-1\r\nContent-Length: 3\r\n\r\nold")
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n" + platform.HeaderSignature + ": sig-r-1\r\nContent-Length: 3\r\n\r\nold")
 		}
 		co.Answer(rq, http.StatusOK, "for "+rq.ID)
 		return true
@@ -185,7 +186,7 @@
 		got := fx.get(id)
 		require.Equal(t, http.StatusOK, got.status)
 		require.Equal(t, "for "+id, got.body)
-		require.Equal(t, "sig-"+id, got.header.Get("Upstream-Signature"))
+		require.Equal(t, "sig-"+id, got.header.Get(platform.HeaderSignature))
 	}
 }
 
@@ -211,7 +212,7 @@
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
 	got := fx.post(once, "r-1", strings.Repeat("y", 90000))
 	require.Equal(t, http.StatusRequestEntityTooLarge, got.status)
-	require.Equal(t, "sig-r-1", got.header.Get("Upstream-Signature"))
+	require.Equal(t, "sig-r-1", got.header.Get(platform.HeaderSignature))
 }
 
 func TestCallerThatLeavesEndsTheRun(t *testing.T) {
--- a/host/host.go
+++ b/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/mangopaddle/mangopaddle/configwatch"
 	"github.com/mangopaddle/mangopaddle/control"
 	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/httpserver"
 	"github.com/mangopaddle/mangopaddle/loadwatch"
 	"github.com/mangopaddle/mangopaddle/meter"
 	"github.com/mangopaddle/mangopaddle/metrics"
@@ -37,7 +38,6 @@
 
 const (
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
 	maxHeader     = 32 << 10 // bytes
 )
 
@@ -48,11 +48,10 @@
 	logger   zerolog.Logger
 	version  string
 
-	view      *blackboard.View
-	loop      *control.Loop
-	meter     *meter.Meter
-	callers   *http.Server
-	operators *http.Server
+	view    *blackboard.View
+	loop    *control.Loop
+	meter   *meter.Meter
+	callers *http.Server
 
 	callerAddress   net.Addr
 	operatorAddress net.Addr
@@ -169,9 +168,8 @@
 	if secure != nil {
 		callerListener = tls.NewListener(callerListener, secure)
 	}
-	ho.callers, ho.operators = newServer(callers), newServer(operators)
-	ho.serve(ho.callers, callerListener)
-	ho.serve(ho.operators, operatorListener)
+	ho.callers = ho.serve(callers, callerListener)
+	ho.serve(operators, operatorListener)
 	ho.logger.Info().
 		Str("host", string(ho.settings.Host)).
 		Stringer("callers", ho.callerAddress).
@@ -191,27 +189,12 @@
 	return files.Config(), nil
 }
 
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-	}
-}
-
-func (ho *Host) serve(server *http.Server, listener net.Listener) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			ho.failed <- errors.Trace(err)
-		}
-	}()
-	ho.addCleanup(func() {
-		_ = server.Close()
-		<-done
-	})
+// serve serves a handler until the host ends.
+func (ho *Host) serve(handler http.Handler, listener net.Listener) *http.Server {
+	server, stop := httpserver.New(listener, handler, func(err error) { ho.failed <- err },
+		httpserver.WithHeaderTimeout(headerTimeout), httpserver.WithHeaderLimit(maxHeader))
+	ho.addCleanup(stop)
+	return server
 }
 
 func (ho *Host) addCleanup(cleanup func()) {
