Collect a gateway's heap at half its growth, within a memory limit

Ruled out: a second, smaller program; most of the peak is heap and stacks.

Change: collection at 50 %, a limit at 0.8 of the host's memory.

--- a/cmd/mangopaddle/gateway.go
+++ b/cmd/mangopaddle/gateway.go
@@ -5,12 +5,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/eventlog"
 	"github.com/mangopaddle/mangopaddle/gateway"
 	"github.com/mangopaddle/mangopaddle/platform"
@@ -48,6 +50,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	limitMemory(settings)
 	out, flush := eventlog.New(gc.stdout)
 	defer flush()
 	logger, err := newLogger(out, gc.level)
@@ -64,6 +67,23 @@
 	return gc.untilStopped(ctx, ga)
 }
 
+const (
+	// collectionPercent lets the heap grow by half before it is collected: hosts
+	// are small, and the heap of a gateway is a few megabytes.
+	collectionPercent = 50
+	// memoryPart is the part of the host's memory from which the runtime collects
+	// at any price.
+	memoryPart = 0.8
+)
+
+// limitMemory keeps the process within the host's memory.
+func limitMemory(settings gateway.Settings) {
+	debug.SetGCPercent(collectionPercent)
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(settings.Memory*int64(mp.Mebibyte))))
+	}
+}
+
 // settingsInterval is how often the settings file is looked at: it may change
 // without a signal.
 const settingsInterval = 2 * time.Second
