Read the store once where it was read twice; drop entries that can't be read

Ruled out: the test's clock (the second read showed in the count of calls).

Change: a change of belief returns once it can be read; unreadable entries are left out.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -73,6 +73,9 @@
 	di.noteReturn(now)
 	fresh := make(map[mp.ServerID]Server, len(servers))
 	for _, se := range servers {
+		if se.State == Gone {
+			continue
+		}
 		fresh[se.ID] = se
 		delete(di.kept, se.ID)
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -56,7 +56,7 @@
 	changed  func(*Snapshot)
 	interval time.Duration
 	rank     func() int
-	messages chan func(*belief) bool
+	messages chan message
 	done     <-chan struct{}
 	// revision is that behind which the watch goes on; zero until the list was
 	// read.
@@ -68,6 +68,13 @@
 	unavailable map[string]time.Time // by kind of call, since when
 }
 
+// message changes the belief. Apply reports whether it did.
+type message struct {
+	apply func(*belief) bool
+	// applied is closed once the new belief can be read.
+	applied chan struct{}
+}
+
 // Option changes a follower under construction.
 type Option func(*Follower)
 
@@ -108,7 +115,7 @@
 		store:       store,
 		view:        view,
 		changed:     func(*Snapshot) {},
-		messages:    make(chan func(*belief) bool),
+		messages:    make(chan message),
 		done:        ctx.Done(),
 		interval:    defaultInterval,
 		rank:        func() int { return 0 },
@@ -134,28 +141,38 @@
 	ticker := fo.clock.NewTicker(expiryInterval)
 	defer ticker.Stop()
 	for {
-		changed := false
 		select {
 		case <-ctx.Done():
 			return
-		case apply := <-fo.messages:
-			changed = apply(be)
+		case me := <-fo.messages:
+			fo.publish(be, me.apply(be))
+			close(me.applied)
 		case <-ticker.Chan():
-			if changed = be.directory.Expire(fo.clock.Now()); !changed {
-				continue
+			if be.directory.Expire(fo.clock.Now()) {
+				fo.publish(be, true)
 			}
 		}
-		snapshot := be.snapshot()
-		fo.view.store(snapshot)
-		if changed {
-			fo.changed(snapshot)
-		}
 	}
 }
 
+func (fo *Follower) publish(be *belief, changed bool) {
+	snapshot := be.snapshot()
+	fo.view.store(snapshot)
+	if changed {
+		fo.changed(snapshot)
+	}
+}
+
+// post changes the belief and returns once the change can be read.
 func (fo *Follower) post(apply func(*belief) bool) {
+	me := message{apply: apply, applied: make(chan struct{})}
+	select {
+	case fo.messages <- me:
+	case <-fo.done:
+		return
+	}
 	select {
-	case fo.messages <- apply:
+	case <-me.applied:
 	case <-fo.done:
 	}
 }
