Read the change again: out with what nothing uses, comments that misled

Cause: the decoded configuration held fields that nothing reads, the connection two methods without a caller, and two comments described something else.

Change: they are gone; no behaviour changes.

Ruled out: use of the services' health paths: probes are priced and health answers may be false, outcomes of own requests tell more.

Conclusion: build, linter and tests of the touched packages pass.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -41,7 +41,6 @@
 	reader  *bufio.Reader
 	address string
 
-	reused    bool
 	idleSince time.Time
 	idleLimit time.Duration
 	broken    atomic.Bool // not to be used again
@@ -69,6 +68,7 @@
 	return count, err
 }
 
+// newConn returns a connection that was just opened.
 func newConn(nc net.Conn, address string) *Conn {
 	co := &Conn{net: nc, address: address, limited: &limitedReader{reader: nc, left: -1}}
 	co.reader = bufio.NewReaderSize(co.limited, readBufferSize)
@@ -78,9 +78,6 @@
 	return co
 }
 
-// Reused says whether the connection served another request before.
-func (co *Conn) Reused() bool { return co.reused }
-
 // quiet says whether an idle connection is open and nothing unasked came on it.
 func (co *Conn) quiet() bool {
 	if co.reader.Buffered() > 0 {
@@ -181,10 +178,6 @@
 	return ex.conn.net.SetReadDeadline(at)
 }
 
-// Reused says whether the request went out on a connection that had served
-// another one.
-func (ex *Exchange) Reused() bool { return ex.conn.reused }
-
 // Finish ends an exchange whose answer was read to its end, and keeps the
 // connection for others if it may be used again.
 func (ex *Exchange) Finish(idle time.Duration) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -81,7 +81,6 @@
 // sent.
 func (po *Pool) Get(ctx context.Context, address string, longestIdle time.Duration) (*Conn, error) {
 	if co := po.take(address, longestIdle); co != nil {
-		co.reused = true
 		return co, nil
 	}
 	nc, err := po.dialer.DialContext(ctx, "tcp", address)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,7 @@
 	failure *wholeAnswer
 	// stream is the answer that was begun; nil before.
 	stream *streamState
+	// status is that of the begun answer.
 	status int
 }
 
@@ -72,6 +73,7 @@
 	return max(time.Millisecond, re.callerDeadline.Sub(now))
 }
 
+// work returns the request as the placement sees it.
 func (re *request) work(now time.Time) *placement.Work {
 	return &placement.Work{
 		Left:     re.left(now),
@@ -117,7 +119,7 @@
 	return io.ReadAll(limited)
 }
 
-// detach returns a context that ends with the caller's connection or at the
+// context returns a context that ends with the caller's connection or at the
 // deadline.
 func (re *request) context() (context.Context, context.CancelFunc) {
 	if re.deadline.IsZero() {
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -75,20 +75,12 @@
 // Service is a group of backend servers that are alike.
 type Service struct {
 	Name mp.ServiceName
-	// HealthPath answers health checks.
-	HealthPath string
-	// MaxConnections bounds the connections to one backend server, of all hosts.
-	MaxConnections int
 	// Engine describes model engines; nil for a plain service.
 	Engine *Engine
 }
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is how many requests an engine batches.
-	Slots int
-	// Cache is how many tokens fit into an engine's memory.
-	Cache mp.Tokens
 	// EventTokens is how many tokens one event of a stream holds.
 	EventTokens int
 }
