--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,7 +200,7 @@
 	case !an.Signed:
 		return result{outcome: placement.Failed, reached: true, err: errors.Errorf("answer with status %d without a signature", status)}
 	case status == http.StatusOK && re.route.Kind == routing.Stream:
-		return ga.relayStream(re, ch, ex, first)
+		return ga.relayStream(re, ch, ex, first, an)
 	default:
 		return ga.relayWhole(re, ch, ex, first, an)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,8 +59,7 @@
 
 // relayStream passes on the whole events of a stream as they come. What is left
 // of an event when the server breaks off is not passed on.
-func (ga *Gateway) relayStream(re *request, ch placement.Choice, ex *backend.Exchange, first func()) result {
-	an := platform.DecodeAnswer(ex.Response)
+func (ga *Gateway) relayStream(re *request, ch placement.Choice, ex *backend.Exchange, first func(), an platform.Answer) result {
 	pending := make([]byte, 0, streamBuffer)
 	chunk := make([]byte, streamBuffer)
 	for {
@@ -71,7 +70,7 @@
 		if whole >= len(eventEnd) {
 			first()
 			if fault := ga.passEvents(re, ex, pending[:whole]); fault != nil {
-				return streamFault(fault)
+				return ga.streamFault(re, ch, fault)
 			}
 			pending = append(pending[:0], pending[whole:]...)
 		}
@@ -107,8 +106,11 @@
 	_ = ex.SetReadDeadline(time.Now().Add(silence))
 }
 
-func streamFault(fault error) result {
+// streamFault ends a stream that the caller doesn't take, or an attempt whose
+// events don't follow each other.
+func (ga *Gateway) streamFault(re *request, ch placement.Choice, fault error) result {
 	if errors.Is(fault, errCaller) {
+		ga.logEnd(re, ch.Server.ID, re.status, fault)
 		return result{done: true, outcome: placement.Cancelled, reached: true, err: fault}
 	}
 	return result{outcome: placement.Failed, reached: true, err: fault}
@@ -204,7 +206,7 @@
 	}
 	if len(rest) > 0 {
 		if err := ga.write(re, rest); err != nil {
-			return streamFault(err)
+			return ga.streamFault(re, ch, err)
 		}
 	}
 	ex.Finish(idle)
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,91 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+func TestStreamIsResumedBehindTheLastWholeEvent(t *testing.T) {
+	for name, breakOff := range map[string]func(*fakeserver.Conn){
+		"reset":            func(co *fakeserver.Conn) { co.Reset() },
+		"close":            func(*fakeserver.Conn) {},
+		"inside an event":  func(co *fakeserver.Conn) { co.Chunk("id: 4\ndata: pie") },
+		"an event missing": func(co *fakeserver.Conn) { co.Event(5) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+				first, last := 1, 3
+				if calls.Add(1) > 1 {
+					if _, err := fmt.Sscan(rq.Header.Get("Last-Event-Id"), &first); err != nil {
+						return false
+					}
+					first, last = first+1, 6
+				}
+				co.Begin(rq)
+				for id := first; id <= last; id++ {
+					co.Event(id)
+				}
+				if last == 6 {
+					co.End()
+					return true
+				}
+				breakOff(co)
+				return false
+			}
+			one, two := startServer(t, script), startServer(t, script)
+			fx := newFixture(t, nil, []*fakeserver.Server{one, two})
+			got := fx.post(chat, "r-1", "prompt")
+			require.NoError(t, got.err)
+			var want strings.Builder
+			for id := 1; id <= 6; id++ {
+				fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", id, id)
+			}
+			require.Equal(t, want.String(), got.body)
+			require.Len(t, one.Received(), 1)
+			require.Len(t, two.Received(), 1)
+		})
+	}
+}
+
+func TestStreamThatMayNotBeResumedEndsBroken(t *testing.T) {
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		co.Event(1)
+		return false
+	}
+	one, two := startServer(t, script), startServer(t, script)
+	fx := newFixture(t, nil, []*fakeserver.Server{one, two})
+	got := fx.post(firm, "r-1", "prompt")
+	require.ErrorIs(t, got.err, io.ErrUnexpectedEOF, "it must not look complete")
+	require.Equal(t, 1, arrivals(one, two))
+}
+
+func TestStreamThatFallsSilentIsResumed(t *testing.T) {
+	var calls atomic.Int64
+	script := func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		if calls.Add(1) == 1 {
+			co.Event(1)
+			co.Gone()
+			return false
+		}
+		co.Event(2)
+		co.End()
+		return true
+	}
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, script), startServer(t, script)})
+	fx.configure(func(content map[string]any) {
+		content["routes"].([]any)[2].(map[string]any)["gap_aim_ms"] = 50
+	})
+	got := fx.post(chat, "r-1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", got.body)
+}
