Give each test server an address of its own, in one place

Cause: TestNonIdempotentRunsAtMostOnce/unframed_and_reset failed once beside other packages' tests, seen today: "listen tcp 127.0.0.1:39167: bind: address already in use". The fixture took a free port, gave it back and let the host open it; meanwhile another test process had it. The tests of `process` had the cure already, with numbers of their own. Ruled out: the host listening twice on one address; the port was the one for metrics, and no other listener of the test had it. Change: `testkit.FreeAddress`, an IP number from the test's process and a counter, a port below the range for outgoing connections; both packages use it. The check of a dead host's message asks for the whole address, not for its first digits. Conclusion: the race is gone by construction, not shown by count.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/mangopaddle/mangopaddle/gateway"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 	"github.com/mangopaddle/mangopaddle/platform/fakestore"
+	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 // patience bounds how long a test waits for something that has to happen.
@@ -78,14 +79,6 @@
 	return data
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // newFixture starts a host that knows the servers of the two services.
 func newFixture(t *testing.T, app, engines []*fakeserver.Server) *fixture {
 	t.Helper()
@@ -94,7 +87,7 @@
 	t.Cleanup(http1.Close)
 	fx.settings = gateway.Settings{
 		Host: "host-1", DataCentre: "dc-1", Region: "region-1", Regions: map[mp.DataCentreID]mp.RegionID{"dc-1": "region-1"},
-		Callers: freeAddress(t), Readiness: freeAddress(t), Peers: freeAddress(t), Metrics: freeAddress(t), Loads: freeAddress(t),
+		Callers: testkit.FreeAddress(t), Readiness: testkit.FreeAddress(t), Peers: testkit.FreeAddress(t), Metrics: testkit.FreeAddress(t), Loads: testkit.FreeAddress(t),
 		Store:    strings.TrimPrefix(http1.URL, "http://"),
 		StopTime: mp.Duration(8 * time.Second), ConfigTime: mp.Duration(3 * time.Second), DrainTime: mp.Duration(3 * time.Second),
 		RetryRatio: 1, RetryWindow: mp.Duration(10 * time.Second), RetrySlack: 1000,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 func TestAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -150,7 +151,7 @@
 	gone := startServer(t, answers("never"))
 	app := startServer(t, answers("done"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
-	fx.list("app-gone", "app", freeAddress(t), "ready")
+	fx.list("app-gone", "app", testkit.FreeAddress(t), "ready")
 	_ = gone
 	for ix := range 6 {
 		require.Equal(t, http.StatusOK, fx.post(once, fmt.Sprint("r-", ix), "order").status)
@@ -311,10 +312,10 @@
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
 	second := &fixture{t: t, store: fx.store, logs: &logBuffer{}, settings: fx.settings}
 	second.settings.Host, second.settings.DataCentre = "host-2", "dc-2"
-	second.settings.Callers, second.settings.Readiness = freeAddress(t), freeAddress(t)
-	second.settings.Peers, second.settings.Metrics, second.settings.Loads = freeAddress(t), freeAddress(t), freeAddress(t)
+	second.settings.Callers, second.settings.Readiness = testkit.FreeAddress(t), testkit.FreeAddress(t)
+	second.settings.Peers, second.settings.Metrics, second.settings.Loads = testkit.FreeAddress(t), testkit.FreeAddress(t), testkit.FreeAddress(t)
 	second.settings.Seeds = []string{fx.settings.Peers}
-	second.settings.Store = freeAddress(t) // nobody listens there
+	second.settings.Store = testkit.FreeAddress(t) // nobody listens there
 	second.start()
 	fx.configure(func(content map[string]any) {
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
--- a/process/command_test.go
+++ b/process/command_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 // output runs a command to its end and returns what it printed and its exit
@@ -82,9 +84,10 @@
 }
 
 func TestHealthcheckOfADeadHostFails(t *testing.T) {
-	text, code := output(t, nil, "healthcheck", "--address", freeAddress(t))
+	address := testkit.FreeAddress(t)
+	text, code := output(t, nil, "healthcheck", "--address", address)
 	require.Equal(t, 1, code)
-	require.Contains(t, text, "host at 127.77.")
+	require.Contains(t, text, "host at "+address)
 }
 
 func TestVersionIsPrinted(t *testing.T) {
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -86,18 +86,6 @@
 	operators []string
 }
 
-// addresses counts the loopback addresses that were given out.
-var addresses atomic.Int32
-
-// freeAddress returns an address that nothing else uses: an IP number of its own,
-// with a port outside of the range for outgoing connections. A free port of a
-// shared number could be taken before the process that it is meant for starts.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	number := addresses.Add(1)
-	return fmt.Sprintf("127.77.%d.%d:7000", number/250, number%250+1)
-}
-
 const hostCount = 2
 
 func deploy(t *testing.T) *deployment {
@@ -108,22 +96,22 @@
 		Models:  []config.Model{{Name: quickstart.ModelSmall}},
 	}
 	for ix := range 2 {
-		address := freeAddress(t)
+		address := testkit.FreeAddress(t)
 		de.engines = append(de.engines, run(t, "standin", "engine", "--listen", address, "--models", string(quickstart.ModelSmall)))
 		de.fleet.Engines = append(de.fleet.Engines, config.Engine{
 			Name: mp.EngineID("e" + strconv.Itoa(ix)), Address: address, DataCentre: "d", Models: []mp.ModelID{quickstart.ModelSmall},
 		})
 	}
-	address := freeAddress(t)
+	address := testkit.FreeAddress(t)
 	run(t, "standin", "service", "--listen", address)
 	de.fleet.Services = []config.Service{{Name: quickstart.Orders, Replicas: []config.Replica{{Name: "s", Address: address, DataCentre: "d"}}}}
 	de.publish(t)
-	platform := freeAddress(t)
+	platform := testkit.FreeAddress(t)
 	de.platform = run(t, "standin", "platform", "--listen", platform, "--dir", de.dir, "--poll", "20ms")
 	de.address = platform
 	for ix := range hostCount {
 		de.hosts = append(de.hosts, nil)
-		de.callers, de.operators = append(de.callers, freeAddress(t)), append(de.operators, freeAddress(t))
+		de.callers, de.operators = append(de.callers, testkit.FreeAddress(t)), append(de.operators, testkit.FreeAddress(t))
 		de.serve(t, ix)
 	}
 	for ix := range de.hosts {
