Let the route's priority decide among organisations of equal priority

All organisations have priority 1, and the gateway took that in place of the route's priority, so all requests with a key were alike. Change: the organisation's priority is compared first, the route's decides among equals; engines get the order of both. The bounds on the wait were chosen again: 1.5, 0.8 and 0.35 of the target when queues are long (was 1.5, 0.35 and 0.15). `placed` and `refused` lines carry the priority.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,7 +65,7 @@
 	}
 	re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
 		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.Home).
-		Int("in_flight", ch.InFlight).Int64("unread", int64(ch.Unread)).Dur("expected_ms", ch.Expected).
+		Int("priority", work.Priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.Unread)).Dur("expected_ms", ch.Expected).
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", now.Sub(ga.view.Load().ListAt)).
 		Dur("left_ms", re.left(now)).Msg("backend server chosen")
 	return ch, nil
@@ -162,7 +162,7 @@
 	fo := platform.Forward{
 		Server:   ch.Server.ID,
 		Left:     re.left(now),
-		Priority: re.priority(),
+		Priority: re.rank().Order,
 		Ranked:   ch.Server.Engine,
 	}
 	if re.holder != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -144,7 +144,7 @@
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListAt)).
 		Dur("took_ms", ga.clock.Since(re.arrived)).Str("cause", err.Error())
 	if re.route != nil {
-		line = line.Str("route", string(re.route.Name)).Str("service", string(re.service))
+		line = line.Str("route", string(re.route.Name)).Str("service", string(re.service)).Int("priority", re.rank().Priority)
 	}
 	line.Msg("request refused")
 	platform.SetRefusal(re.rw.Header(), re.caller.ID, after)
--- /dev/null
+++ b/gateway/rank_test.go
@@ -0,0 +1,42 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+// TestRoutesRankAmongOrganisationsOfEqualPriority checks that the priority of a
+// route still counts where that of the organisations doesn't decide.
+func TestRoutesRankAmongOrganisationsOfEqualPriority(t *testing.T) {
+	engine := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Received) bool {
+		co.Begin(rq)
+		co.Event(1)
+		co.End()
+		return true
+	})
+	fx := newFixture(t, nil, []*fakeserver.Server{engine})
+	fx.configure(func(content map[string]any) {
+		content["tenants"] = []any{
+			map[string]any{"name": "org-one", "api_keys": []string{key}, "priority": 1},
+			map[string]any{"name": "org-two", "api_keys": []string{"key-two"}, "priority": 1},
+		}
+		for _, route := range content["routes"].([]any) {
+			switch ro := route.(map[string]any); ro["name"] {
+			case "chat":
+				ro["priority"] = 2
+			case "firm":
+				ro["priority"] = 0
+			}
+		}
+	})
+	require.Equal(t, http.StatusOK, fx.post(chat, "r-last", "prompt").status)
+	require.Equal(t, http.StatusOK, fx.post(firm, "r-first", "prompt").status)
+	seen := engine.Received()
+	require.Len(t, seen, 2)
+	require.Equal(t, "2", seen[0].Header.Get("Request-Priority"))
+	require.Equal(t, "0", seen[1].Header.Get("Request-Priority"))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,13 +56,9 @@
 	server mp.ServerID
 }
 
-// priority returns the rank of the request: that of its organisation goes before
-// that of its route.
-func (re *request) priority() int {
-	if re.holder != nil && re.holder.Priority != nil {
-		return *re.holder.Priority
-	}
-	return re.route.Priority
+// rank says how urgent the request is.
+func (re *request) rank() routing.Rank {
+	return re.snapshot.Table.Rank(re.route, re.holder)
 }
 
 // left returns the time until the deadline that is passed on.
@@ -77,7 +73,7 @@
 func (re *request) work(now time.Time) *placement.Work {
 	return &placement.Work{
 		Left:     re.left(now),
-		Priority: re.priority(),
+		Priority: re.rank().Priority,
 		Steady:   isSteady(re.snapshot.Table, re.route, re.service),
 		Service:  re.service,
 		Prompt:   re.caller.Prompt,
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -64,7 +64,7 @@
 // long queues; the last one holds for all lower ones. When engines can't read all
 // prompts in time, the lower priorities are refused first, while what is more
 // urgent still begins in time.
-var strictPatience = [...]float64{1.5, 0.35, 0.15}
+var strictPatience = [...]float64{1.5, 0.8, 0.35}
 
 // calmPatience is the same while the queues are short in the mean: one engine's
 // queue then passes, and the answer still comes in time.
--- /dev/null
+++ b/routing/rank_test.go
@@ -0,0 +1,46 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/routing"
+)
+
+func TestRank(t *testing.T) {
+	urgent, normal, odd := 0, 1, 4
+	type want struct{ order, priority int }
+	tests := []struct {
+		name          string
+		organisations []*int // their priorities
+		of            int    // index of the organisation; -1 for none
+		wants         []want // by the priority of the route, from 0
+	}{
+		{"no organisation has a priority", []*int{nil, nil}, 1, []want{{0, 0}, {1, 1}, {2, 2}}},
+		{"without an organisation", nil, -1, []want{{0, 0}, {1, 1}, {2, 2}}},
+		{"all organisations are alike", []*int{&normal, &normal}, 0, []want{{0, 0}, {1, 1}, {2, 2}}},
+		{"the more urgent organisation", []*int{&normal, &urgent}, 1, []want{{0, 0}, {1, 0}, {2, 1}}},
+		{"the less urgent organisation", []*int{&normal, &urgent}, 0, []want{{3, 0}, {4, 1}, {5, 2}}},
+		{"the first of three", []*int{&odd, &urgent, &normal}, 1, []want{{0, 0}, {1, 0}, {2, 0}}},
+		{"one without a priority goes with the last", []*int{&urgent, nil, &normal}, 1, []want{{3, 0}, {4, 1}, {5, 2}}},
+		{"without an organisation among some", []*int{&urgent, &normal}, -1, []want{{3, 0}, {4, 1}, {5, 2}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			co := routing.Configuration{Routes: []routing.Route{{Priority: 1}, {Priority: 2}, {Priority: 0}}}
+			for _, priority := range test.organisations {
+				co.Organisations = append(co.Organisations, routing.Organisation{Priority: priority})
+			}
+			ta := routing.New(co)
+			var holder *routing.Organisation
+			if test.of >= 0 {
+				holder = &co.Organisations[test.of]
+			}
+			for priority, want := range test.wants {
+				rank := ta.Rank(&routing.Route{Priority: priority}, holder)
+				require.Equal(t, routing.Rank{Order: want.order, Priority: want.priority}, rank, "route of priority %d", priority)
+			}
+		})
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,6 +15,9 @@
 	byHost   map[string][]*Route // the longest prefix first
 	holders  map[string]*Organisation
 	services map[mp.ServiceName]*Service
+	// The priorities in use, sorted, each once.
+	routePriorities        []int
+	organisationPriorities []int
 }
 
 // New returns the table of a configuration.
@@ -30,12 +33,16 @@
 		ro := &co.Routes[ix]
 		host := strings.ToLower(ro.Host)
 		ta.byHost[host] = append(ta.byHost[host], ro)
+		ta.routePriorities = insert(ta.routePriorities, ro.Priority)
 	}
 	for _, routes := range ta.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for ix := range co.Organisations {
 		or := &co.Organisations[ix]
+		if or.Priority != nil {
+			ta.organisationPriorities = insert(ta.organisationPriorities, *or.Priority)
+		}
 		for _, key := range or.Keys {
 			ta.holders[key] = or
 		}
