One client of the store for the whole product; out with what the platform makes needless

Cause: the own interface read its configuration from a stand-in with a protocol of its own, by a second client, key by key; and the stand-ins, settings and the capacity page kept mechanisms of the design before: orders to engines with fencing, cache events and memory transfers of the stand-in engine, messages for membership, share aggregation and a ledger that nothing sent. Ruled out: keeping the keys of a set apart in the store. Each change has a revision of its own there, so a host could judge half of an operator's change; the set is one key now, as the operators' own configuration is. Change: `configwatch` uses `platform.Store` and holds one watch in place of a watch and a read of the list each second; it logs a lost and a regained store, and a value that can't be read. `platform/fakestore` replaces `fakeplatform` (it can show an older state now). The capacity page counts what hosts really send. An older list of machines is not taken any more. Conclusion: one client, and no unsent message left.

--- a/bench/messages.go
+++ b/bench/messages.go
@@ -5,35 +5,36 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
-	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/peer"
+	"github.com/mangopaddle/mangopaddle/platform"
 )
 
-func hostName(ix int) mp.HostID {
-	return mp.HostID(fmt.Sprintf("utrecht-1-h%03d", ix))
-}
+const (
+	// exampleAddress is as long as addresses get.
+	exampleAddress = "10.100.100.100:8029"
+	exampleCentre  = mp.DataCentreID("utrecht-1")
+	// membersTold is how many hosts one exchange names.
+	membersTold = 12
+)
 
-// measureMessages encodes every kind of message and fits its size.
+// measureMessages encodes the messages between hosts and the answers of the store,
+// and fits their sizes.
 func measureMessages(_ context.Context, re *Result) error {
-	counts := []int{0, 10, 100, 1000}
 	measurements := []struct {
 		name, unit string
 		build      func(count int) any
 	}{
-		{ListSizeByHost, "hosts", listWithHosts},
-		{ListSizeByServer, "backend servers", listWithServers},
-		{ProbeSize, "updates", probe},
-		{UseSize, "classes", use},
-		{FractionSize, "classes", fraction},
-		{EngineStateSize, "cache events", engineState},
+		{ListSize, "backend servers", storedList},
+		{KnowledgeSize, "backend servers", knowledgeWithServers},
+		{SheetSize, "engines with load", sheet},
 	}
 	for _, me := range measurements {
 		var points []Point
-		for _, count := range counts {
+		for _, count := range []int{0, 10, 100, 1000} {
 			size, err := sizeOf(me.build(count))
 			if err != nil {
 				return errors.Annotate(err, me.name)
@@ -42,109 +43,82 @@
 		}
 		re.addSlope(me.name, me.unit, "bytes", points)
 	}
-	return measureSingles(re)
-}
-
-// message is a peer message under its method.
-type message struct {
-	method peer.Method
-	params any
+	size, err := sizeOf(knowledgeWithServers(0))
+	if err != nil {
+		return errors.Annotate(err, ExchangeSize)
+	}
+	re.addFigure(ExchangeSize, size, "bytes")
+	return measureCodec(re)
 }
 
 func sizeOf(value any) (float64, error) {
-	if me, ok := value.(message); ok {
-		data, err := peer.Encode(me.method, 1, me.params)
-		return float64(len(data)), errors.Trace(err)
-	}
 	data, err := json.Marshal(value)
 	return float64(len(data)), errors.Trace(err)
 }
 
-func listWithHosts(count int) any {
-	list := mp.HostList{Hosts: []mp.ListedHost{}, Servers: []mp.ListedServer{}}
-	for ix := range count {
-		list.Hosts = append(list.Hosts, mp.ListedHost{Name: hostName(ix), Address: "10.100.100.100:7000", DataCentre: "utrecht-1", State: mp.ServerLive})
-	}
-	return list
-}
+func serverID(ix int) mp.ServerID { return mp.ServerID(fmt.Sprintf("i-%010x", ix)) }
 
-func listWithServers(count int) any {
-	list := mp.HostList{Hosts: []mp.ListedHost{}, Servers: []mp.ListedServer{}}
-	for ix := range count {
-		list.Servers = append(list.Servers, mp.ListedServer{Name: fmt.Sprintf("utrecht-1-e%03d", ix), State: mp.ServerLive})
+// server returns a backend server as hosts tell each other of it.
+func server(ix int) directory.Server {
+	return directory.Server{
+		ID: serverID(ix), Service: "model-12", Address: exampleAddress, DataCentre: exampleCentre, Slots: 64, State: directory.Ready, Born: 1_700_000_000_000,
 	}
-	return list
 }
 
-func probe(count int) any {
-	params := peer.Probe{From: hostName(1), Incarnation: 1_700_000_000, Revision: 1_000_000}
+// storedList returns the list of backend servers as the store answers it.
+func storedList(count int) any {
+	items := []platform.Item{}
 	for ix := range count {
-		params.Updates = append(params.Updates, peer.MemberUpdate{Host: hostName(ix), Incarnation: 1_700_000_000, State: peer.MemberSuspect})
+		value, err := json.Marshal(server(ix))
+		if err != nil {
+			panic(err) // the type always marshals
+		}
+		items = append(items, platform.Item{Key: mp.ConfigKey(platform.ServersPrefix + string(serverID(ix))), Value: value, Revision: 1_000_000})
 	}
-	return message{method: peer.MethodProbe, params: params}
+	return items
 }
 
-func use(count int) any {
-	params := peer.Use{From: hostName(1), Interval: 800_000_000, Classes: []peer.ClassUse{}}
-	for ix := range count {
-		params.Classes = append(params.Classes, peer.ClassUse{Organisation: organisationName(ix), Class: className(1), Offered: 12_345, Admitted: 12_345})
+func knowledgeWithServers(count int) any {
+	known := peer.Knowledge{
+		From:      peer.Member{Address: exampleAddress, DataCentre: exampleCentre},
+		Freshness: peer.Freshness{Version: 1_000_000, ListRevision: 1_000_000, ListAge: 617_317_889},
 	}
-	return message{method: peer.MethodUse, params: params}
-}
-
-func fraction(count int) any {
-	params := peer.Fraction{Interval: 800_000_000, Classes: []peer.ClassFraction{}}
-	for ix := range count {
-		params.Classes = append(params.Classes, peer.ClassFraction{Organisation: organisationName(ix), Class: className(1), Fraction: 0.8125})
+	for range membersTold {
+		known.Members = append(known.Members, known.From)
 	}
-	return message{method: peer.MethodFraction, params: params}
-}
-
-func engineState(count int) any {
-	params := peer.EngineState{Engine: "utrecht-1-e100", Load: mp.EngineLoad{Running: 200, Waiting: 20, Fencing: 1234}}
 	for ix := range count {
-		params.Cache = append(params.Cache, mp.CacheEvent{Sequence: uint64(1_000_000 + ix), PrefixID: 1 << 63, Tokens: 2048})
+		known.Servers = append(known.Servers, server(ix))
 	}
-	return message{method: peer.MethodEngineState, params: params}
+	return known
 }
 
-// measureSingles measures the messages of one size, and the codec.
-func measureSingles(re *Result) error {
-	key := uuid.NewString()
-	value := mp.Value{Key: config.ContractKey(organisationName(1)), Revision: 1_000_000, Value: contract(1)}
-	singles := []struct {
-		name  string
-		value any
-	}{
-		{ChangeSize, mp.Changes{Revision: 1_000_000, Changes: []mp.Change{{Key: value.Key, Revision: value.Revision}}}},
-		{ConfigChangeSize, message{method: peer.MethodConfig, params: peer.ConfigChange{Revision: 1_000_000, After: 999_999, Values: []mp.Value{value}}}},
-		{PlaceSize, message{method: peer.MethodPlace, params: peer.Place{Key: key, Organisation: organisationName(1), Service: "orders", Request: mp.NewRequestID()}}},
-		{SettleSize, message{method: peer.MethodSettle, params: peer.Settle{Key: key, Request: mp.NewRequestID(), Status: 201, Answer: json.RawMessage(`{"number":1,"path":"/confirm"}`)}}},
+func sheet(count int) any {
+	sh := peer.Sheet{
+		From:      peer.Member{Address: exampleAddress, DataCentre: exampleCentre},
+		Host:      "edge-utrecht-1-100",
+		Sequence:  1_000_000,
+		Freshness: peer.Freshness{Version: 1_000_000, ListRevision: 1_000_000, ListAge: 617_317_889},
+		Loads:     map[mp.ServerID]peer.Load{},
 	}
-	for _, si := range singles {
-		size, err := sizeOf(si.value)
-		if err != nil {
-			return errors.Annotate(err, si.name)
-		}
-		re.addFigure(si.name, size, "bytes")
+	for ix := range count {
+		sh.Loads[serverID(ix)] = peer.Load{Unread: 12_345, Streams: 5}
 	}
-	return measureCodec(re)
+	return sh
 }
 
-// measureCodec measures writing and reading a message by its length.
+// measureCodec measures writing and reading a load sheet by its length.
 func measureCodec(re *Result) error {
 	const calls = 2000
 	var points []Point
 	for _, count := range []int{1, 8, 20, 40} {
-		me := use(count).(message)
-		data, err := peer.Encode(me.method, 1, me.params)
+		data, err := json.Marshal(sheet(count))
 		if err != nil {
 			return errors.Trace(err)
 		}
 		var failed error
 		nanoseconds := medianOf(func() float64 {
 			return timeOf(calls, func(int) {
-				if err := roundTrip(me); err != nil {
+				if err := roundTrip(sheet(count)); err != nil {
 					failed = err
 				}
 			})
@@ -158,18 +132,11 @@
 	return nil
 }
 
-func roundTrip(me message) error {
-	data, err := peer.Encode(me.method, 1, me.params)
+func roundTrip(value any) error {
+	data, err := json.Marshal(value)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	var envelope struct {
-		Method peer.Method     `json:"method"`
-		Params json.RawMessage `json:"params"`
-	}
-	if err := json.Unmarshal(data, &envelope); err != nil {
-		return errors.Trace(err)
-	}
-	var params peer.Use
-	return errors.Trace(json.Unmarshal(envelope.Params, &params))
+	var read peer.Sheet
+	return errors.Trace(json.Unmarshal(data, &read))
 }
--- a/bench/state.go
+++ b/bench/state.go
@@ -192,7 +192,7 @@
 	re.addSlope(ContractMemory, "contracts", "bytes", memory)
 	re.addSlope(ApplyTime, "contracts", "ns", apply)
 	re.addFigure(ValueSize, float64(len(contract(1))), "bytes")
-	size, err := sizeOf(config.Engine{Name: "utrecht-1-e100", Address: "10.100.100.100:8000", DataCentre: "utrecht-1", Models: []mp.ModelID{"model-12"}, Slots: 220, ChecksFencing: true})
+	size, err := sizeOf(config.Engine{Name: "utrecht-1-e100", Address: "10.100.100.100:8000", DataCentre: "utrecht-1", Models: []mp.ModelID{"model-12"}, Slots: 220})
 	re.addFigure(EngineValueSize, size, "bytes")
 	return errors.Trace(err)
 }
--- a/bench/streams.go
+++ b/bench/streams.go
@@ -47,7 +47,7 @@
 func (en *engine) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
 	if rq.Method == http.MethodGet {
 		rw.Header().Set("Content-Type", "application/json")
-		_, _ = rw.Write([]byte(`{"running":123,"waiting":12,"fencing":1234,"age":"250ms"}`))
+		_, _ = rw.Write([]byte(`{"running":123,"waiting":12,"age":"250ms"}`))
 		return
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -36,19 +36,13 @@
 // set in bold.
 func (mo *Model) writeRoles(out io.Writer, budget Budget) {
 	fmt.Fprintf(out, "### Control, for each host\n\n")
-	writeRow(out, "role", "built", "memory", "messages/s", "bytes/s", "of a core", "busiest: memory", "bytes/s", "of a core")
+	writeRow(out, "role", "where", "memory", "messages/s", "bytes/s", "of a core", "busiest: memory", "bytes/s", "of a core")
 	writeRow(out, "---", "---", "---:", "---:", "---:", "---:", "---:", "---:", "---:")
 	for _, ro := range mo.Roles() {
-		built := "no"
-		if ro.Built {
-			built = "yes"
-		}
-		writeRow(out, append([]string{ro.Name, built}, costCells(ro.Mean, ro.Busiest, budget)...)...)
+		writeRow(out, append([]string{ro.Name, string(ro.Where)}, costCells(ro.Mean, ro.Busiest, budget)...)...)
 	}
-	built := mo.Built()
-	writeRow(out, append([]string{"**sum of what runs today**", ""}, costCells(built, built, budget)...)...)
-	mean, busiest := mo.Planned()
-	writeRow(out, append([]string{"**sum with the planned roles**", ""}, costCells(mean, busiest, budget)...)...)
+	mean, busiest := mo.Sum()
+	writeRow(out, append([]string{"**sum on the users' platform**", ""}, costCells(mean, busiest, budget)...)...)
 	writeRow(out, "budget", "", bytesText(float64(budget.Memory)), "", bytesText(budget.Traffic), percent(budget.Processor), bytesText(float64(budget.Memory)), bytesText(budget.Traffic), percent(budget.Processor))
 	fmt.Fprintf(out, "\nBold figures are over the budget.\n\n")
 	writeRow(out, "role", "state", "mechanism")
@@ -80,14 +74,17 @@
 	fmt.Fprintln(out)
 }
 
+// storeHalfLimit is half of the calls that the store takes in a second.
+const storeHalfLimit = 1000
+
 func (mo *Model) writePlatform(out io.Writer) {
-	pc := mo.PlatformCalls()
-	fmt.Fprintf(out, "### Calls at the platform (limit 2,000/s, a waiting watch counts as one)\n\n")
-	writeRow(out, "", "every host reads (today)", "three watchers for each data centre (planned)")
-	writeRow(out, "---", "---:", "---:")
-	writeRow(out, "steady, calls/s", number(pc.Today), number(pc.Planned))
-	writeRow(out, "all hosts restart, calls", number(pc.Restart), number(pc.PlannedRestart))
-	writeRow(out, "at half of the limit these take", fmt.Sprintf("%.0f s", pc.Restart/1000), fmt.Sprintf("%.0f s", pc.PlannedRestart/1000))
+	sc := mo.StoreCalls()
+	fmt.Fprintf(out, "### Calls at the store (limit 2,000/s, a waiting watch counts as one)\n\n")
+	writeRow(out, "", "calls")
+	writeRow(out, "---", "---:")
+	writeRow(out, "steady, each second", number(sc.Steady))
+	writeRow(out, "all hosts restart", number(sc.Restart))
+	writeRow(out, "at half of the limit these take", fmt.Sprintf("%.0f s", sc.Restart/storeHalfLimit))
 	fmt.Fprintln(out)
 }
 
@@ -141,16 +138,12 @@
 		return mo.size.Organisations
 	case bench.StreamMemory:
 		return mo.InFlight()
-	case bench.ListSizeByHost:
-		return mo.size.Hosts
-	case bench.ListSizeByServer:
+	case bench.ListSize, bench.KnowledgeSize:
 		return mo.size.Engines
-	case bench.UseSize, bench.FractionSize:
-		return mo.activeClasses(useInterval) / max(1, mo.hostsOfDC()-1)
-	case bench.EngineStateSize:
-		return mo.size.Requests / mo.size.Engines
+	case bench.SheetSize:
+		return min(mo.size.Engines, mo.size.Requests/mo.size.DataCentres*readingTime)
 	case bench.CodecTime:
-		return mo.figure(bench.ConfigChangeSize)
+		return mo.at(bench.SheetSize, mo.size.Requests/mo.size.Hosts*readingTime)
 	default:
 		return 1
 	}
--- a/cmd/mangopaddle/standin.go
+++ b/cmd/mangopaddle/standin.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -20,8 +22,9 @@
 	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/enginemodel"
 	"github.com/mangopaddle/mangopaddle/fakeengine"
-	"github.com/mangopaddle/mangopaddle/fakeplatform"
 	"github.com/mangopaddle/mangopaddle/fakeservice"
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/platform/fakestore"
 )
 
 // standin runs one stand-in as a process of its own.
@@ -32,7 +35,6 @@
 	models       string
 	slots        int
 	answerTokens int64
-	fencing      bool
 	slowdown     float64
 
 	dir  string
@@ -69,7 +71,6 @@
 	set.StringVar(&st.models, "models", "model-small", "models to serve, with commas between them")
 	set.IntVar(&st.slots, "slots", enginemodel.DefaultParams().Slots, "requests batched at once")
 	set.Int64Var(&st.answerTokens, "answer-tokens", 64, "mean length of an answer without max_tokens")
-	set.BoolVar(&st.fencing, "fencing", false, "refuse orders with an old fencing number")
 	set.Float64Var(&st.slowdown, "slowdown", 1, "factor on the time of every iteration")
 	return &ffcli.Command{Name: "engine", ShortHelp: "Run a model engine.", FlagSet: set, Exec: st.runEngine}
 }
@@ -89,9 +90,6 @@
 		fakeengine.WithParams(params),
 		fakeengine.WithAnswerTokens(mp.Tokens(st.answerTokens)),
 	}
-	if st.fencing {
-		options = append(options, fakeengine.WithFencing())
-	}
 	en, stop := fakeengine.New(options...)
 	defer stop()
 	en.SetSlowdown(st.slowdown)
@@ -122,52 +120,53 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pl := fakeplatform.New()
-	if _, err := st.publish(pl, nil); err != nil {
+	store := fakestore.New()
+	published, err := st.publish(store, nil)
+	if err != nil {
 		return errors.Trace(err)
 	}
-	go st.follow(ctx, pl)
-	return st.serve(ctx, "platform", pl.Handler())
+	go st.follow(ctx, store, published)
+	return st.serve(ctx, "platform", store)
 }
 
 // follow publishes the directory again whenever it changed.
-func (st *standin) follow(ctx context.Context, pl *fakeplatform.Platform) {
+func (st *standin) follow(ctx context.Context, store *fakestore.Store, published []byte) {
 	ticker := time.NewTicker(st.poll)
 	defer ticker.Stop()
-	known, _ := config.ReadDirectory(st.dir)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if values, err := st.publish(pl, known); err == nil {
-				known = values
+			set, err := st.publish(store, published)
+			if err != nil {
+				fmt.Fprintf(st.stdout, "the directory can't be published: %v\n", err)
+				continue
 			}
+			published = set
 		}
 	}
 }
 
-// publish publishes what differs from the known values.
-func (st *standin) publish(pl *fakeplatform.Platform, known map[mp.ConfigKey]mp.Value) (map[mp.ConfigKey]mp.Value, error) {
+// publish puts the directory's set into the store if it differs from what was
+// published, and returns it.
+func (st *standin) publish(store *fakestore.Store, published []byte) ([]byte, error) {
 	values, err := config.ReadDirectory(st.dir)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	changed := map[mp.ConfigKey][]byte{}
+	raw := make(map[mp.ConfigKey]json.RawMessage, len(values))
 	for key, value := range values {
-		if string(known[key].Value) != string(value.Value) {
-			changed[key] = value.Value
-		}
+		raw[key] = value.Value
 	}
-	for key := range known {
-		if _, ok := values[key]; !ok {
-			changed[key] = nil
-		}
+	set, err := platform.EncodeSet(raw)
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
-	if len(changed) > 0 {
-		pl.Publish(changed)
+	if !bytes.Equal(set, published) {
+		store.Put(string(platform.SetKey), set)
 	}
-	return values, nil
+	return set, nil
 }
 
 // serve serves a handler until a signal.
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -54,9 +54,6 @@
 	Slots int `json:"slots,omitempty" jsonschema:"minimum=1"`
 	// TokensPerSecond is the engine's rated output. Default 40 for each slot.
 	TokensPerSecond mp.TokensPerSecond `json:"tokens_per_second,omitempty" jsonschema:"minimum=0"`
-	// ChecksFencing says that the engine refuses an order with an old fencing
-	// number.
-	ChecksFencing bool `json:"checks_fencing,omitempty"`
 	// State is "live" or "leaving". Default "live".
 	State State `json:"state,omitempty" jsonschema:"enum=live,enum=leaving"`
 }
--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -1,30 +1,27 @@
-// Package configwatch reads what the platform publishes: configuration revisions,
-// with a watch, and the list of live and leaving machines.
+// Package configwatch follows what the own interface is configured by: the
+// published configuration set, and the list of live and leaving machines.
 package configwatch
 
 import (
+	"bytes"
 	"context"
-	"maps"
-	"net"
-	"net/http"
+	"math/rand/v2"
 	"time"
 
-	"github.com/dghubble/sling"
 	"github.com/jonboulle/clockwork"
-	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/blackboard"
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/retry"
-
-	"math/rand/v2"
 )
 
 const (
-	watchWait    = 30 * time.Second
-	callTimeout  = 5 * time.Second
-	dialTimeout  = time.Second
-	listInterval = time.Second
+	watchWait   = 30 * time.Second
+	callTimeout = 5 * time.Second
+	// postPause lies between two tries to hand a set to a busy control goroutine.
+	postPause = 50 * time.Millisecond
 )
 
 // Poster takes messages for the control goroutine.
@@ -34,13 +31,16 @@
 
 // Watcher follows the published configuration and the list of machines.
 type Watcher struct {
-	clock   clockwork.Clock
-	address string
-	client  *http.Client
-	poster  Poster
-	random  *rand.Rand
+	clock  clockwork.Clock
+	logger zerolog.Logger
+	store  *platform.Store
+	poster Poster
+	random *rand.Rand
 
+	// revision is that of the newest answer; zero if everything is to be read.
 	revision mp.Revision
+	set      mp.Revision // of the set that was offered last
+	machines mp.Revision // of the list that was handed on last
 	values   map[mp.ConfigKey]mp.Value
 }
 
@@ -52,15 +52,19 @@
 	return func(wa *Watcher) { wa.clock = clock }
 }
 
-// New starts a watcher of the platform at an address and returns a function
-// that stops it.
+// WithLogger sets where a lost and a regained store are logged.
+func WithLogger(logger zerolog.Logger) Option {
+	return func(wa *Watcher) { wa.logger = logger }
+}
+
+// New starts a watcher of the store at an address and returns a function that
+// stops it.
 func New(address string, poster Poster, opts ...Option) func() {
+	store, closeStore := platform.New(address)
 	wa := &Watcher{
-		clock:   clockwork.NewRealClock(),
-		address: address,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		}},
+		clock:  clockwork.NewRealClock(),
+		logger: zerolog.Nop(),
+		store:  store,
 		poster: poster,
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		values: map[mp.ConfigKey]mp.Value{},
@@ -69,140 +73,115 @@
 		opt(wa)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{}, 2)
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
 		wa.watch(ctx)
-		done <- struct{}{}
-	}()
-	go func() {
-		wa.list(ctx)
-		done <- struct{}{}
 	}()
 	return func() {
 		cancel()
 		<-done
-		<-done
-		wa.client.CloseIdleConnections()
+		closeStore()
 	}
 }
 
-// watch follows the configuration until the context ends.
+// watch follows the store until the context ends.
 func (wa *Watcher) watch(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		if err := wa.next(ctx); err != nil {
+		page, err := wa.next(ctx)
+		if err != nil {
+			if failures == 0 && ctx.Err() == nil {
+				wa.logger.Warn().Str("event", "store_lost").Err(err).Msg("the store doesn't answer")
+			}
 			failures++
-			wa.pause(ctx, retry.Backoff(failures, wa.random))
+			wa.revision = 0 // a read tells at once when the store is back, a watch waits
+			wa.sleep(ctx, retry.Backoff(failures, wa.random))
 			continue
 		}
+		if failures > 0 {
+			wa.logger.Info().Str("event", "store_regained").Int("failures", failures).Msg("the store answers")
+		}
 		failures = 0
+		wa.poster.Post(platformAnswered{at: wa.clock.Now()})
+		wa.take(ctx, page)
 	}
 }
 
-func (wa *Watcher) pause(ctx context.Context, wait time.Duration) {
+func (wa *Watcher) sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-wa.clock.After(wait):
 	}
 }
 
-// next waits for a change and offers the set that contains it.
-func (wa *Watcher) next(ctx context.Context) error {
-	changes, err := wa.changes(ctx, wa.revision)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	wa.poster.Post(platformAnswered{at: wa.clock.Now()})
-	if changes.Revision <= wa.revision {
-		return nil // nothing new, or a stale replica
-	}
-	values := maps.Clone(wa.values)
-	for _, change := range changes.Changes {
-		if err := wa.fetch(ctx, values, change, changes.Revision); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	wa.revision, wa.values = changes.Revision, values
-	wa.offer()
-	return nil
-}
-
-// offer posts the newest set until the control goroutine takes it.
-func (wa *Watcher) offer() {
-	offer := &blackboard.Offer{Revision: wa.revision, Values: wa.values}
-	for !wa.poster.Post(offered{offer: offer}) {
-		wa.clock.Sleep(callTimeout / 100)
-	}
-}
-
-type changesQuery struct {
-	After mp.Revision `url:"after"`
-	// Wait is in Go's notation for time spans.
-	Wait string `url:"wait"`
-}
-
-func (wa *Watcher) changes(ctx context.Context, after mp.Revision) (mp.Changes, error) {
+// next reads everything the first time and after a failure, and else waits for
+// changes.
+func (wa *Watcher) next(ctx context.Context) (platform.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
-	query := changesQuery{After: after, Wait: watchWait.String()}
-	if after == 0 {
-		query.Wait = "0s"
+	if wa.revision == 0 {
+		return wa.store.List(ctx, platform.PublishedPrefix)
 	}
-	var found mp.Changes
-	err := wa.get(ctx, sling.New().Base("http://"+wa.address).Get("/v1/changes").QueryStruct(query), &found)
-	return found, errors.Annotate(err, "configuration watch")
+	return wa.store.Watch(ctx, platform.PublishedPrefix, wa.revision, watchWait)
 }
 
-// fetch reads a changed value. A value that was written behind the revision
-// would mix two sets, so it is an error, and the watch is asked again.
-func (wa *Watcher) fetch(ctx context.Context, values map[mp.ConfigKey]mp.Value, change mp.Change, revision mp.Revision) error {
-	if change.Deleted {
-		delete(values, change.Key)
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var value mp.Value
-	err := wa.get(ctx, sling.New().Base("http://"+wa.address).Get("/v1/keys/"+string(change.Key)), &value)
-	if err != nil {
-		return errors.Annotatef(err, "configuration value %q", change.Key)
-	}
-	if value.Revision > revision || value.Revision < change.Revision {
-		return errors.Errorf("configuration value %q is of revision %d, not of %d", change.Key, value.Revision, change.Revision)
+// take hands on what a page brings. Pages of a replica that lags may be older than
+// what is known.
+func (wa *Watcher) take(ctx context.Context, page platform.Page) {
+	wa.revision = max(wa.revision, page.Revision)
+	for _, it := range page.Items {
+		if it.Deleted {
+			continue // what was published last stays in force
+		}
+		switch it.Key {
+		case platform.SetKey:
+			wa.offer(ctx, it)
+		case platform.MachinesKey:
+			wa.list(ctx, it)
+		}
 	}
-	values[change.Key] = value
-	return nil
 }
 
-// list follows the list of machines until the context ends.
-func (wa *Watcher) list(ctx context.Context) {
-	for ctx.Err() == nil {
-		if machines, err := wa.machines(ctx); err == nil {
-			wa.poster.Post(machinesListed{list: machines})
+// offer hands on a newer set.
+func (wa *Watcher) offer(ctx context.Context, it platform.Item) {
+	if it.Revision <= wa.set {
+		return
+	}
+	published, err := platform.DecodeSet(it.Value)
+	if err != nil {
+		wa.logger.Error().Str("event", "configuration_refused").Uint64("revision", uint64(it.Revision)).Err(err).Msg("the configuration in force stays")
+		return
+	}
+	values := make(map[mp.ConfigKey]mp.Value, len(published))
+	for key, value := range published {
+		known, ok := wa.values[key]
+		if !ok || !bytes.Equal(known.Value, value) {
+			known = mp.Value{Key: key, Revision: it.Revision, Value: value}
 		}
-		wa.pause(ctx, listInterval)
+		values[key] = known
 	}
+	wa.set, wa.values = it.Revision, values
+	wa.post(ctx, offered{offer: &blackboard.Offer{Revision: it.Revision, Values: values}})
 }
 
-func (wa *Watcher) machines(ctx context.Context) (mp.HostList, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var list mp.HostList
-	err := wa.get(ctx, sling.New().Base("http://"+wa.address).Get("/v1/hosts"), &list)
-	return list, errors.Annotate(err, "list of machines")
-}
-
-func (wa *Watcher) get(ctx context.Context, call *sling.Sling, into any) error {
-	request, err := call.Request()
-	if err != nil {
-		return errors.Trace(err)
+// list hands on a newer list.
+func (wa *Watcher) list(ctx context.Context, it platform.Item) {
+	if it.Revision <= wa.machines {
+		return
 	}
-	response, err := call.Client(wa.client).Do(request.WithContext(ctx), into, nil) //nolint:bodyclose // sling closes it
+	list, err := platform.DecodeMachines(it.Value)
 	if err != nil {
-		return errors.Trace(err)
+		wa.logger.Error().Str("event", "machines_refused").Uint64("revision", uint64(it.Revision)).Err(err).Msg("the known list of machines stays")
+		return
 	}
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("the platform answered with status %d", response.StatusCode)
+	wa.machines = it.Revision
+	wa.post(ctx, machinesListed{list: list})
+}
+
+// post tries until the control goroutine takes the message.
+func (wa *Watcher) post(ctx context.Context, me blackboard.Message) {
+	for ctx.Err() == nil && !wa.poster.Post(me) {
+		wa.sleep(ctx, postPause)
 	}
-	return nil
 }
--- a/e2e/config_test.go
+++ b/e2e/config_test.go
@@ -31,7 +31,7 @@
 	de := testkit.Start(t)
 	before := revision(t, de)
 	contract := []byte(`{"organisation":"other","keys":[{"name":"k","sha256":"00"}],"classes":[{"name":"c","tier":9}]}`)
-	de.Platform.Publish(map[mp.ConfigKey][]byte{config.ContractKey("other"): contract})
+	require.NoError(t, de.Change(map[mp.ConfigKey][]byte{config.ContractKey("other"): contract}))
 	testkit.Eventually(t, func() bool { return gjson.Get(state(t, de), "config_refused").Exists() }, "the refusal is not shown")
 	require.Equal(t, before, revision(t, de))
 	faults := gjson.Get(state(t, de), "config_refused.faults.#.path").String()
@@ -40,32 +40,32 @@
 	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "2"))
 	require.Equal(t, http.StatusOK, an.Status)
 
-	de.Platform.Publish(map[mp.ConfigKey][]byte{config.ContractKey("other"): nil})
+	require.NoError(t, de.Change(map[mp.ConfigKey][]byte{config.ContractKey("other"): nil}))
 	testkit.Eventually(t, func() bool { return revision(t, de) > before }, "the mended set is not in force")
 	require.False(t, gjson.Get(state(t, de), "config_refused").Exists())
 }
 
 func TestAStalePlatformNeverTurnsTheConfigurationBack(t *testing.T) {
 	de := testkit.Start(t)
-	first := de.Platform.Save()
+	first := de.Store.Save()
 	republish(t, de, func(fl *config.Fleet) { fl.Models[0].ContextTokens = 4096 })
 	newest := revision(t, de)
 
-	calls := de.Platform.Calls()
-	de.Platform.Show(first)
-	testkit.Eventually(t, func() bool { return de.Platform.Calls() > calls+2 }, "the stale platform was not asked")
+	reads := de.Store.Reads()
+	de.Store.Show(first)
+	testkit.Eventually(t, func() bool { return de.Store.Reads() > reads+1 }, "the stale store was not read")
 	require.Equal(t, newest, revision(t, de))
 
-	de.Platform.Show(nil)
+	de.Store.Show(nil)
 	republish(t, de, func(*config.Fleet) {})
 	require.Greater(t, revision(t, de), newest)
 }
 
 func TestAHostServesWhileThePlatformIsDown(t *testing.T) {
 	de := testkit.Start(t)
-	de.Platform.SetDown(true)
+	de.Store.Refuse(http.StatusServiceUnavailable)
 	an := testkit.Post(t, de.Host.CallerAddress(), testkit.Chat, testkit.ChatBody(quickstart.ModelSmall, "x", false, "2"))
 	require.Equal(t, http.StatusOK, an.Status)
-	de.Platform.SetDown(false)
+	de.Store.Refuse(0)
 	republish(t, de, func(fl *config.Fleet) { fl.Models[0].ContextTokens = 4096 })
 }
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/enginemodel"
 	"github.com/mangopaddle/mangopaddle/fakeengine"
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/quickstart"
 	"github.com/mangopaddle/mangopaddle/testkit"
 )
@@ -269,7 +271,9 @@
 func TestLeavingEngineGetsNoNewRequest(t *testing.T) {
 	de := testkit.Start(t)
 	leaving := de.Engines["model-small-a"]
-	de.Platform.SetHosts(mp.HostList{Servers: []mp.ListedServer{{Name: "model-small-a", State: mp.ServerLeaving}}})
+	list, err := json.Marshal(mp.HostList{Servers: []mp.ListedServer{{Name: "model-small-a", State: mp.ServerLeaving}}})
+	require.NoError(t, err)
+	de.Store.Put(string(platform.MachinesKey), list)
 	testkit.Eventually(t, func() bool {
 		return strings.Contains(state(t, de), `"model-small-a": true`)
 	}, "the list was not read")
--- a/fakeengine/completion.go
+++ b/fakeengine/completion.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -124,7 +125,7 @@
 		refuse(rw, http.StatusServiceUnavailable, "the engine is not ready")
 		return nil, false
 	}
-	if !en.orders.holds(cm.model) {
+	if !slices.Contains(en.models, cm.model) {
 		refuse(rw, http.StatusNotFound, fmt.Sprintf("model %q is not loaded", cm.model))
 		return nil, false
 	}
@@ -137,14 +138,10 @@
 	st := &stream{sequence: cm.sequence, changed: make(chan struct{}, 1), produced: cm.resumeAt}
 	en.streams[cm.id] = st
 	en.started++
-	if kept, ok := en.kv[cm.id]; ok && kept.Tokens >= cm.sequence.Prompt {
-		cm.sequence.Prompt = 0
-	}
 	if cm.sequence.Produced >= cm.sequence.Output {
 		st.finished = true
 		return st, true
 	}
-	en.recordCacheEvent(cm.sequence)
 	en.model.Submit(cm.sequence)
 	notify(en.wake)
 	return st, true
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -1,7 +1,6 @@
 // Package fakeengine is a stand-in for a model engine. It serves the chat
 // completions API over a modelled engine: continuous batching, priorities, a
-// prefix cache with late and gappy events, lagging load reports, resume, cancel,
-// KV export and import, orders with fencing numbers, and faults on demand.
+// prefix cache, lagging load reports, resume, cancel, and faults on demand.
 package fakeengine
 
 import (
@@ -33,15 +32,12 @@
 
 // Engine is the stand-in.
 type Engine struct {
-	clock         clockwork.Clock
-	params        enginemodel.Params
-	models        []mp.ModelID
-	checksFencing bool
-	answerTokens  mp.Tokens
-	keepAlive     time.Duration
-	loadLag       time.Duration
-	eventLag      time.Duration
-	eventGap      uint64
+	clock        clockwork.Clock
+	params       enginemodel.Params
+	models       []mp.ModelID
+	answerTokens mp.Tokens
+	keepAlive    time.Duration
+	loadLag      time.Duration
 
 	mu        sync.Mutex
 	model     *enginemodel.Engine
@@ -52,9 +48,6 @@
 	wake      chan struct{}
 	report    mp.EngineLoad
 	reportAt  time.Time
-	events    []timedEvent
-	orders    orderBook
-	kv        map[mp.RequestID]kvState
 	generated mp.Tokens
 	started   int
 	cancelled int
@@ -81,16 +74,11 @@
 	return func(en *Engine) { en.params = pa }
 }
 
-// WithModels sets the models that are loaded at the start.
+// WithModels sets the models that are loaded.
 func WithModels(models ...mp.ModelID) Option {
 	return func(en *Engine) { en.models = models }
 }
 
-// WithFencing makes the engine refuse orders with an old fencing number.
-func WithFencing() Option {
-	return func(en *Engine) { en.checksFencing = true }
-}
-
 // WithAnswerTokens sets the mean length of an answer without max_tokens.
 func WithAnswerTokens(tokens mp.Tokens) Option {
 	return func(en *Engine) { en.answerTokens = tokens }
@@ -106,12 +94,6 @@
 	return func(en *Engine) { en.keepAlive = interval }
 }
 
-// WithCacheEvents sets how late cache events are, and that each gap-th is lost;
-// a gap of zero loses none.
-func WithCacheEvents(lag time.Duration, gap uint64) Option {
-	return func(en *Engine) { en.eventLag, en.eventGap = lag, gap }
-}
-
 const (
 	defaultAnswerTokens = 24
 	defaultKeepAlive    = time.Second
@@ -125,7 +107,6 @@
 		answerTokens: defaultAnswerTokens,
 		keepAlive:    defaultKeepAlive,
 		streams:      map[mp.RequestID]*stream{},
-		kv:           map[mp.RequestID]kvState{},
 		slowdown:     1,
 		wake:         make(chan struct{}, 1),
 	}
@@ -133,7 +114,6 @@
 		opt(en)
 	}
 	en.model = enginemodel.New(en.params)
-	en.orders = newOrderBook(en.models, en.checksFencing)
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
@@ -249,10 +229,5 @@
 	mux.HandleFunc("POST /v1/completions", en.serveCompletion)
 	mux.HandleFunc("POST /v1/requests/{id}/cancel", en.serveCancel)
 	mux.HandleFunc("GET /v1/load", en.serveLoad)
-	mux.HandleFunc("GET /v1/cache/events", en.serveCacheEvents)
-	mux.HandleFunc("GET /v1/orders", en.serveOrderState)
-	mux.HandleFunc("POST /v1/orders", en.serveOrder)
-	mux.HandleFunc("GET /v1/kv/{id}", en.serveExport)
-	mux.HandleFunc("PUT /v1/kv/{id}", en.serveImport)
 	return mux
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -1,3 +1,5 @@
+// Package peer lets the entry hosts of a deployment tell each other what they know:
+// over JSON-RPC 2.0 calls, and by datagrams with their loads.
 package peer
 
 import (
@@ -5,6 +7,9 @@
 	"github.com/mangopaddle/mangopaddle/directory"
 )
 
+// Method names a JSON-RPC call.
+type Method string
+
 // MethodExchange is the call by which two hosts tell each other what they know.
 const MethodExchange Method = "state.exchange"
 
--- a/quickstart/quickstart.go
+++ b/quickstart/quickstart.go
@@ -16,9 +16,10 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/fakeengine"
-	"github.com/mangopaddle/mangopaddle/fakeplatform"
 	"github.com/mangopaddle/mangopaddle/fakeservice"
 	"github.com/mangopaddle/mangopaddle/host"
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/platform/fakestore"
 )
 
 // Key is the bearer key of the deployment's only organisation.
@@ -48,13 +49,14 @@
 
 // Deployment is a running deployment.
 type Deployment struct {
-	Host     *host.Host
-	Engines  map[mp.EngineID]*fakeengine.Engine
-	Orders   *fakeservice.Service
-	Platform *fakeplatform.Platform
+	Host    *host.Host
+	Engines map[mp.EngineID]*fakeengine.Engine
+	Orders  *fakeservice.Service
+	Store   *fakestore.Store
 	// Fleet is the published fleet.
 	Fleet config.Fleet
 
+	values   map[mp.ConfigKey]json.RawMessage // published
 	settings config.Settings
 	logger   zerolog.Logger
 	engine   []fakeengine.Option
@@ -90,7 +92,8 @@
 	de := &Deployment{
 		Engines:  map[mp.EngineID]*fakeengine.Engine{},
 		Orders:   fakeservice.New(),
-		Platform: fakeplatform.New(),
+		Store:    fakestore.New(),
+		values:   map[mp.ConfigKey]json.RawMessage{},
 		settings: config.DefaultSettings(),
 		logger:   zerolog.Nop(),
 		contract: defaultContract(),
@@ -128,7 +131,7 @@
 	if err := de.Publish(); err != nil {
 		return errors.Trace(err)
 	}
-	address, err := de.Serve(de.Platform.Handler())
+	address, err := de.Serve(de.Store)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -144,7 +147,7 @@
 
 func (de *Deployment) addEngine(model mp.ModelID, number int) error {
 	id := mp.EngineID(string(model) + "-" + string(rune('a'+number)))
-	options := append([]fakeengine.Option{fakeengine.WithModels(model), fakeengine.WithFencing()}, de.engine...)
+	options := append([]fakeengine.Option{fakeengine.WithModels(model)}, de.engine...)
 	en, stop := fakeengine.New(options...)
 	de.cleanups = append(de.cleanups, stop)
 	address, err := de.Serve(en.Handler())
@@ -153,7 +156,7 @@
 	}
 	de.Engines[id] = en
 	de.Fleet.Engines = append(de.Fleet.Engines, config.Engine{
-		Name: id, Address: address, DataCentre: DataCentre, Models: []mp.ModelID{model}, ChecksFencing: true,
+		Name: id, Address: address, DataCentre: DataCentre, Models: []mp.ModelID{model},
 	})
 	return nil
 }
@@ -193,10 +196,26 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	de.Platform.Publish(map[mp.ConfigKey][]byte{
+	return de.Change(map[mp.ConfigKey][]byte{
 		config.FleetKey:                  fleet,
 		config.ContractKey(Organisation): contract,
 	})
+}
+
+// Change publishes changed values as one revision; a nil value deletes its key.
+func (de *Deployment) Change(changed map[mp.ConfigKey][]byte) error {
+	for key, value := range changed {
+		if value == nil {
+			delete(de.values, key)
+			continue
+		}
+		de.values[key] = value
+	}
+	set, err := platform.EncodeSet(de.values)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	de.Store.Put(string(platform.SetKey), set)
 	return nil
 }
 
--- a/wire.go
+++ b/wire.go
@@ -23,37 +23,6 @@
 type EngineLoad struct {
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
-	// Fencing is the highest fencing number that the engine has accepted.
-	Fencing uint64 `json:"fencing"`
 	// Age is how old the report is when it is sent.
 	Age Duration `json:"age,omitempty"`
 }
-
-// CacheEvent is one change of an engine's prefix cache. Events come late, and
-// a gap in the sequence numbers means that some were lost.
-type CacheEvent struct {
-	Sequence uint64 `json:"sequence"`
-	PrefixID uint64 `json:"prefix_id"`
-	Tokens   Tokens `json:"tokens"`
-}
-
-// EngineAction is what an order asks of an engine.
-type EngineAction string
-
-// The actions of orders.
-const (
-	ActionLoad    EngineAction = "load"
-	ActionUnload  EngineAction = "unload"
-	ActionAdapter EngineAction = "adapter"
-	ActionVersion EngineAction = "version"
-	ActionRole    EngineAction = "role"
-)
-
-// EngineOrder asks an engine for a wanted end state.
-type EngineOrder struct {
-	Fencing uint64       `json:"fencing"`
-	Action  EngineAction `json:"action"`
-	Model   ModelID      `json:"model,omitempty"`
-	// Value is the wanted adapter, version or role.
-	Value string `json:"value,omitempty"`
-}
