--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,91 @@
+// Command soak plays faults against the real program, seed by seed, and prints what
+// broke. It starts the entry hosts as processes of its own on loopback addresses.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/mangopaddle/mangopaddle/soak"
+)
+
+// options are the flags of the command.
+type options struct {
+	plan   soak.Plan
+	seeds  uint64
+	binary string
+	logs   string
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	op := &options{}
+	set := flag.NewFlagSet("soak", flag.ContinueOnError)
+	set.Uint64Var(&op.plan.Seed, "seed", 1, "first seed")
+	set.Uint64Var(&op.seeds, "seeds", 1, "how many seeds are played, one after another")
+	set.DurationVar(&op.plan.Lasts, "lasts", 15*time.Second, "how long faults come")
+	set.IntVar(&op.plan.Hosts, "hosts", 3, "entry hosts")
+	set.IntVar(&op.plan.Callers, "callers", 24, "callers, each with one request at a time")
+	set.StringVar(&op.binary, "binary", "", "program under test; built from ./cmd/mangopaddle if empty")
+	set.StringVar(&op.logs, "logs", "", "directory for the hosts' logs; thrown away if empty")
+	command := &ffcli.Command{
+		Name:       "soak",
+		ShortUsage: "soak [--seed N] [--seeds COUNT] [--lasts TIME]",
+		ShortHelp:  "Play faults against entry hosts and check what callers and backend servers saw.",
+		FlagSet:    set,
+		Exec:       func(ctx context.Context, _ []string) error { return op.run(ctx) },
+	}
+	if err := command.ParseAndRun(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds.
+func (op *options) run(ctx context.Context) error {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if op.binary == "" {
+		op.binary = filepath.Join(dir, "mangopaddle")
+		if output, err := exec.CommandContext(ctx, "go", "build", "-o", op.binary, "./cmd/mangopaddle").CombinedOutput(); err != nil {
+			return errors.Annotatef(err, "build: %s", output)
+		}
+	}
+	op.plan.Binary = op.binary
+	broken := 0
+	for last := op.plan.Seed + op.seeds; op.plan.Seed < last && ctx.Err() == nil; op.plan.Seed++ {
+		op.plan.Directory = filepath.Join(dir, strconv.FormatUint(op.plan.Seed, 10))
+		if op.logs != "" {
+			op.plan.Directory = filepath.Join(op.logs, strconv.FormatUint(op.plan.Seed, 10))
+		}
+		if err := os.MkdirAll(op.plan.Directory, 0o700); err != nil {
+			return errors.Trace(err)
+		}
+		report, err := soak.Run(ctx, op.plan)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		report.Write(os.Stdout)
+		if len(report.Findings) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Errorf("%d seeds broke a promise", broken)
+	}
+	return nil
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,9 +17,9 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 	"github.com/mangopaddle/mangopaddle/platform/fakestore"
-	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 // patience bounds how long a test waits for something that has to happen.
@@ -37,48 +36,14 @@
 }
 
 const (
-	key   = "key-one"
-	host  = "quotes.example"
-	plain = "/plain/"
-	once  = "/once/"
-	chat  = "/chat/"
-	firm  = "/firm/"
+	key   = fakestore.Key
+	host  = fakestore.Host
+	plain = fakestore.Plain
+	once  = fakestore.Once
+	chat  = fakestore.Chat
+	firm  = fakestore.Firm
 )
 
-// configuration returns the operator's configuration of a version. The services
-// are "engines" and "app".
-func configuration(version int, changes ...func(map[string]any)) []byte {
-	route := func(name, prefix, kind, service string, timeout int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": timeout,
-			"target_latency_ms": 1000, "priority": 1, "max_attempts": 2, "resumable": resumable, "gap_aim_ms": 2000,
-		}
-	}
-	content := map[string]any{
-		"version": version,
-		"routes": []any{
-			route("plain", plain, "idempotent", "app", 8000, false),
-			route("once", once, "non_idempotent", "app", 8000, false),
-			route("chat", chat, "streaming", "engines", 15000, true),
-			route("firm", firm, "streaming", "engines", 15000, false),
-		},
-		"services": []any{
-			map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 100},
-			map[string]any{"name": "engines", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{"slots": 64, "kv_capacity": 300000, "stride": 5}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "org-one", "api_keys": []string{key}}},
-	}
-	for _, change := range changes {
-		change(content)
-	}
-	data, err := json.Marshal(content)
-	if err != nil {
-		panic(err) // plain maps can be encoded
-	}
-	return data
-}
-
 // newFixture starts a host that knows the servers of the two services.
 func newFixture(t *testing.T, app, engines []*fakeserver.Server) *fixture {
 	t.Helper()
@@ -87,7 +52,7 @@
 	t.Cleanup(http1.Close)
 	fx.settings = gateway.Settings{
 		Host: "host-1", DataCentre: "dc-1", Region: "region-1", Regions: map[mp.DataCentreID]mp.RegionID{"dc-1": "region-1"},
-		Callers: testkit.FreeAddress(t), Readiness: testkit.FreeAddress(t), Peers: testkit.FreeAddress(t), Metrics: testkit.FreeAddress(t), Loads: testkit.FreeAddress(t),
+		Callers: loopback.Address(), Readiness: loopback.Address(), Peers: loopback.Address(), Metrics: loopback.Address(), Loads: loopback.Address(),
 		Store:    strings.TrimPrefix(http1.URL, "http://"),
 		StopTime: mp.Duration(8 * time.Second), ConfigTime: mp.Duration(3 * time.Second), DrainTime: mp.Duration(3 * time.Second),
 		RetryRatio: 1, RetryWindow: mp.Duration(10 * time.Second), RetrySlack: 1000,
@@ -98,7 +63,7 @@
 	for ix, se := range engines {
 		fx.list(fmt.Sprintf("engine-%d", ix), "engines", se.Address(), "ready")
 	}
-	fx.store.Put("op/config", configuration(1))
+	fx.store.Configure(1)
 	fx.version = 1
 	fx.start()
 	return fx
@@ -115,12 +80,12 @@
 // configure puts a new configuration into force.
 func (fx *fixture) configure(changes ...func(map[string]any)) {
 	fx.version++
-	fx.store.Put("op/config", configuration(fx.version, changes...))
+	fx.store.Configure(fx.version, changes...)
 	fx.eventually(func() bool { return int(fx.gateway.Version()) == fx.version })
 }
 
 func (fx *fixture) list(id, service, address, state string) {
-	fx.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"dc-1","slots":6,"state":%q}`, service, address, state))
+	fx.store.List(id, service, address, state)
 }
 
 func (fx *fixture) eventually(condition func() bool) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
-	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 func TestAnswerIsPassedOnUnchanged(t *testing.T) {
@@ -151,7 +151,7 @@
 	gone := startServer(t, answers("never"))
 	app := startServer(t, answers("done"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
-	fx.list("app-gone", "app", testkit.FreeAddress(t), "ready")
+	fx.list("app-gone", "app", loopback.Address(), "ready")
 	_ = gone
 	for ix := range 6 {
 		require.Equal(t, http.StatusOK, fx.post(once, fmt.Sprint("r-", ix), "order").status)
@@ -298,7 +298,7 @@
 	fx.configure(func(content map[string]any) {
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
 	})
-	fx.store.Put("op/config", configuration(1))
+	fx.store.Configure(1)
 	fx.store.Put("op/config", []byte(`{"version": 99, "routes": [{"name": "x", "kind": "odd"}]}`))
 	fx.configure(func(content map[string]any) {
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
@@ -312,10 +312,10 @@
 	fx := newFixture(t, []*fakeserver.Server{app}, nil)
 	second := &fixture{t: t, store: fx.store, logs: &logBuffer{}, settings: fx.settings}
 	second.settings.Host, second.settings.DataCentre = "host-2", "dc-2"
-	second.settings.Callers, second.settings.Readiness = testkit.FreeAddress(t), testkit.FreeAddress(t)
-	second.settings.Peers, second.settings.Metrics, second.settings.Loads = testkit.FreeAddress(t), testkit.FreeAddress(t), testkit.FreeAddress(t)
+	second.settings.Callers, second.settings.Readiness = loopback.Address(), loopback.Address()
+	second.settings.Peers, second.settings.Metrics, second.settings.Loads = loopback.Address(), loopback.Address(), loopback.Address()
 	second.settings.Seeds = []string{fx.settings.Peers}
-	second.settings.Store = testkit.FreeAddress(t) // nobody listens there
+	second.settings.Store = loopback.Address() // nobody listens there
 	second.start()
 	fx.configure(func(content map[string]any) {
 		content["tenants"].([]any)[0].(map[string]any)["api_keys"] = []string{"key-two"}
--- a/process/command_test.go
+++ b/process/command_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/mangopaddle/mangopaddle/testkit"
+	"github.com/mangopaddle/mangopaddle/loopback"
 )
 
 // output runs a command to its end and returns what it printed and its exit
@@ -84,7 +84,7 @@
 }
 
 func TestHealthcheckOfADeadHostFails(t *testing.T) {
-	address := testkit.FreeAddress(t)
+	address := loopback.Address()
 	text, code := output(t, nil, "healthcheck", "--address", address)
 	require.Equal(t, 1, code)
 	require.Contains(t, text, "host at "+address)
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -21,6 +21,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/quickstart"
 	"github.com/mangopaddle/mangopaddle/testkit"
 )
@@ -96,22 +97,22 @@
 		Models:  []config.Model{{Name: quickstart.ModelSmall}},
 	}
 	for ix := range 2 {
-		address := testkit.FreeAddress(t)
+		address := loopback.Address()
 		de.engines = append(de.engines, run(t, "standin", "engine", "--listen", address, "--models", string(quickstart.ModelSmall)))
 		de.fleet.Engines = append(de.fleet.Engines, config.Engine{
 			Name: mp.EngineID("e" + strconv.Itoa(ix)), Address: address, DataCentre: "d", Models: []mp.ModelID{quickstart.ModelSmall},
 		})
 	}
-	address := testkit.FreeAddress(t)
+	address := loopback.Address()
 	run(t, "standin", "service", "--listen", address)
 	de.fleet.Services = []config.Service{{Name: quickstart.Orders, Replicas: []config.Replica{{Name: "s", Address: address, DataCentre: "d"}}}}
 	de.publish(t)
-	platform := testkit.FreeAddress(t)
+	platform := loopback.Address()
 	de.platform = run(t, "standin", "platform", "--listen", platform, "--dir", de.dir, "--poll", "20ms")
 	de.address = platform
 	for ix := range hostCount {
 		de.hosts = append(de.hosts, nil)
-		de.callers, de.operators = append(de.callers, testkit.FreeAddress(t)), append(de.operators, testkit.FreeAddress(t))
+		de.callers, de.operators = append(de.callers, loopback.Address()), append(de.operators, loopback.Address())
 		de.serve(t, ix)
 	}
 	for ix := range de.hosts {
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,87 @@
+package soak_test
+
+import (
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/loopback"
+	"github.com/mangopaddle/mangopaddle/soak"
+)
+
+// TestSeeds plays a few short seeds against the program. The first ones ever played
+// and each one that failed stand here, with what it had found.
+func TestSeeds(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "mangopaddle")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/mangopaddle").CombinedOutput()
+	require.NoError(t, err, string(output))
+	for _, seed := range []uint64{1, 2} {
+		report, err := soak.Run(t.Context(), soak.Plan{
+			Binary: binary, Directory: t.TempDir(), Seed: seed, Lasts: 3 * time.Second, Hosts: 2, Callers: 6,
+		})
+		require.NoError(t, err)
+		require.Positive(t, report.Answered)
+		require.Empty(t, report.Findings, "seed %d, faults %v", seed, report.Faults)
+	}
+}
+
+// echo answers each piece with the same piece.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return // the test has ended
+			}
+			go func() {
+				_, _ = io.Copy(nc, nc)
+				_ = nc.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestProxyModes(t *testing.T) {
+	pr, stop, err := soak.NewProxy(loopback.Address(), echo(t))
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	nc, err := net.Dial("tcp", pr.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = nc.Close() })
+	exchange := func() (string, error) {
+		if _, err := nc.Write([]byte("ping")); err != nil {
+			return "", err
+		}
+		answer := make([]byte, 4)
+		_, err := io.ReadFull(nc, answer)
+		return string(answer), err
+	}
+	answer, err := exchange()
+	require.NoError(t, err)
+	require.Equal(t, "ping", answer)
+	for _, mode := range []soak.Mode{soak.Silent, soak.OneWay} {
+		pr.Set(mode)
+		go pr.Set(soak.Passing) // what was withheld comes then
+		answer, err = exchange()
+		require.NoError(t, err)
+		require.Equal(t, "ping", answer)
+	}
+	pr.Set(soak.Resetting)
+	_, err = exchange()
+	require.Error(t, err)
+	fresh, err := net.Dial("tcp", pr.Address())
+	require.NoError(t, err)
+	_, err = fresh.Read(make([]byte, 1))
+	require.Error(t, err, "new connections are reset too")
+	require.NoError(t, fresh.Close())
+}
