Soak: connections that a proxy drops without notice; pages and comments put right

Cause: the soak's list of troubles lacked idle connections that are dropped and reset at the next request, which the users name. Ruled out: closing the connections (that is noticed at once, and is another fault).

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -43,7 +43,7 @@
 	// PlatformAt is when the platform last answered.
 	PlatformAt time.Time
 
-	// Machines is the platform's list of live and leaving machines.
+	// Machines is the list of live and leaving machines.
 	Machines mp.HostList
 	// Hosts is how many entry hosts of the data centre serve.
 	Hosts int
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -95,7 +95,7 @@
 	fmt.Fprintf(out, "### Failures\n\n")
 	writeRow(out, "event", "how often", "requests in flight that callers lose", "part of a day's requests", "control messages", "recovery")
 	writeRow(out, "---", "---", "---:", "---:", "---:", "---")
-	writeRow(out, "a host crashes", number(si.Lost)+"/day", number(mo.InFlight()), mo.partOfDay(si.Lost*mo.InFlight()), number(perDC*2), "callers repeat at another host; no state to rebuild; the hosts' count is right when the platform's list is")
+	writeRow(out, "a host crashes", number(si.Lost)+"/day", number(mo.InFlight()), mo.partOfDay(si.Lost*mo.InFlight()), number(perDC*2), "callers repeat at another host; no state to rebuild; other hosts drop it from their counts in 1.5 s")
 	writeRow(out, "a host is replaced", number(si.Replaced)+"/day", "0", "0", number(perDC*2), "lame duck, then every answer is finished")
 	writeRow(out, "a rack or switch (10 hosts)", "weekly", number(10*mo.InFlight()), mo.partOfDay(10*mo.InFlight()), number(10*perDC*2), "as ten crashes; the other hosts of the data centre carry "+percent(10/max(11, perDC))+" more")
 	writeRow(out, "a data centre", "a few a year", number(perDC*mo.InFlight()), mo.partOfDay(perDC*mo.InFlight()), number(perDC*2), percent(1/si.DataCentres)+" of the traffic; callers are led elsewhere by the balancer")
--- a/configwatch/messages.go
+++ b/configwatch/messages.go
@@ -29,7 +29,7 @@
 	bo.PlatformAt = pa.at
 }
 
-// machinesListed brings the platform's list.
+// machinesListed brings the list of machines.
 type machinesListed struct {
 	list mp.HostList
 }
--- a/serverlist/serverlist.go
+++ b/serverlist/serverlist.go
@@ -1,5 +1,5 @@
 // Package serverlist is the control step that works out which machines are
-// leaving, from the platform's list and the configuration, whichever says so
+// leaving, from the list of machines and the configuration, whichever says so
 // first.
 package serverlist
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -99,7 +99,7 @@
 	lasts := between(random, 300*time.Millisecond, 3*time.Second)
 	mode := []Mode{Slow, Silent, OneWay, Resetting}[random.IntN(4)]
 	ma := []manner{failing, full, breaking}[random.IntN(3)]
-	switch random.IntN(10) {
+	switch random.IntN(11) {
 	case 0:
 		return func() { pl.restart(ho, "kill", syscall.SIGKILL, lasts/3) }
 	case 1:
@@ -118,6 +118,8 @@
 		return func() { pl.misbehave(ba, ma, lasts) }
 	case 8:
 		return func() { pl.replace(ba) }
+	case 9:
+		return func() { pl.during(trouble{kind: "idle connections dropped"}, ba.proxy.Drop) }
 	default:
 		return func() { pl.during(trouble{kind: "key revoked"}, pl.rotate) }
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,6 +41,8 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]bool
+	// dropped counts the times that the connections of then were dropped.
+	dropped int
 }
 
 // NewProxy starts a proxy at an address and returns it with a function that stops
@@ -81,6 +83,20 @@
 	}
 }
 
+// Drop forgets the connections that are open, without notice: each is reset when the
+// client sends on it next.
+func (pr *Proxy) Drop() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.dropped++
+}
+
+func (pr *Proxy) drops() int {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.dropped
+}
+
 func (pr *Proxy) current() Mode {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
@@ -127,17 +143,23 @@
 	}
 	defer pr.keep(server)()
 	var group sync.WaitGroup
-	group.Go(func() { pr.relay(server, client, false) })
-	pr.relay(client, server, true)
+	since := pr.drops()
+	group.Go(func() { pr.relay(server, client, false, since) })
+	pr.relay(client, server, true, since)
 	group.Wait()
 }
 
-// relay passes on pieces until an end is gone, and then ends the other.
-func (pr *Proxy) relay(to, from net.Conn, fromServer bool) {
+// relay passes on pieces until an end is gone, and then ends the other. Since says
+// how often connections had been dropped when this one was opened.
+func (pr *Proxy) relay(to, from net.Conn, fromServer bool, since int) {
 	defer func() { _ = to.Close() }()
 	piece := make([]byte, pieceSize)
 	for {
 		count, err := from.Read(piece)
+		if !fromServer && count > 0 && pr.drops() > since {
+			reset(from)
+			return
+		}
 		pr.hold(fromServer)
 		if _, werr := to.Write(piece[:count]); werr != nil {
 			_ = from.Close()
