Give up a silent read of the published set after five seconds

Cause: found in reading the change: the first read of the set shared the watch's time limit of 35 s, where the client before had 5 s for a read. Ruled out: the client's own time limits; they cover the connection only. Change: a read has five seconds. TestSilentStoreIsGivenUp fails before (nothing is logged within 30 s) and passes after.

--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -118,11 +118,13 @@
 // next reads everything the first time and after a failure, and else waits for
 // changes.
 func (wa *Watcher) next(ctx context.Context) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
-	defer cancel()
 	if wa.revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
 		return wa.store.List(ctx, platform.PublishedPrefix)
 	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	defer cancel()
 	return wa.store.Watch(ctx, platform.PublishedPrefix, wa.revision, watchWait)
 }
 
--- a/configwatch/watcher_test.go
+++ b/configwatch/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -66,11 +67,18 @@
 
 func watch(t *testing.T) (*fakestore.Store, *control) {
 	t.Helper()
-	store, co := fakestore.New(), &control{board: blackboard.New("h", "d")}
+	store := fakestore.New()
+	return store, watchHandler(t, store)
+}
+
+// watchHandler starts a watcher of a store.
+func watchHandler(t *testing.T, store http.Handler) *control {
+	t.Helper()
+	co := &control{board: blackboard.New("h", "d")}
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	t.Cleanup(configwatch.New(strings.TrimPrefix(server.URL, "http://"), co, configwatch.WithLogger(zerolog.New(co))))
-	return store, co
+	return co
 }
 
 func publish(t *testing.T, store *fakestore.Store, values map[mp.ConfigKey]string) {
@@ -134,3 +142,9 @@
 	store.Refuse(0)
 	testkit.Eventually(t, func() bool { return co.logged("store_regained") }, "the return was not logged")
 }
+
+// TestSilentStoreIsGivenUp starts beside a store that takes calls and never answers.
+func TestSilentStoreIsGivenUp(t *testing.T) {
+	co := watchHandler(t, http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) { <-rq.Context().Done() }))
+	testkit.Eventually(t, func() bool { return co.logged("store_lost") }, "the read was not given up")
+}
