--- a/soak/check.go
+++ b/soak/check.go
@@ -89,7 +89,7 @@
 
 func (pl *player) excused(ou outcome) bool {
 	for _, tr := range pl.troubles {
-		if !tr.process || tr.host != ou.host || ou.end.Before(tr.begin.Add(-margin)) || ou.begin.After(tr.end.Add(margin)) {
+		if !tr.process || tr.host != ou.host || !tr.overlaps(ou.begin.Add(-margin), ou.end.Add(margin)) {
 			continue
 		}
 		// A stopping host owes an answer to what it accepts.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,8 +20,14 @@
 	// process says that it disturbs the host's process or the way to it.
 	process bool
 	// store says that hosts may miss changes of the store meanwhile.
-	store      bool
-	begin, end time.Time
+	store bool
+	begin time.Time
+	end   time.Time // zero while it lasts
+}
+
+// overlaps says whether the trouble lasted at a time between two times.
+func (tr trouble) overlaps(begin, end time.Time) bool {
+	return tr.begin.Before(end) && (tr.end.IsZero() || tr.end.After(begin))
 }
 
 // player plays faults and keeps what it played.
@@ -53,18 +59,17 @@
 	pl.findings = append(pl.findings, fmt.Sprintf(format, args...))
 }
 
-func (pl *player) note(tr trouble) {
-	pl.mu.Lock()
-	defer pl.mu.Unlock()
-	pl.troubles = append(pl.troubles, tr)
-}
-
 // during notes a trouble that lasts while a function runs.
 func (pl *player) during(tr trouble, run func()) {
 	tr.begin = time.Now()
+	pl.mu.Lock()
+	ix := len(pl.troubles)
+	pl.troubles = append(pl.troubles, tr)
+	pl.mu.Unlock()
 	run()
-	tr.end = time.Now()
-	pl.note(tr)
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.troubles[ix].end = time.Now()
 }
 
 const (
@@ -251,7 +256,7 @@
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	for _, tr := range pl.troubles {
-		if tr.store && tr.begin.Before(end) && tr.end.After(begin.Add(-configTime)) {
+		if tr.store && tr.overlaps(begin.Add(-configTime), end) {
 			return true
 		}
 	}
