Place a request that waited for the first configuration: tell a change before it is shown

A request in between was refused, also on the platform after a restart of all hosts. Change: the servers are handed on first. TestAChangeIsToldBeforeItIsShown fails on the code before at every run and needs no timing.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -155,12 +155,14 @@
 	}
 }
 
+// publish shows the belief. Whoever sees it finds what follows from it done: a
+// request that waited for the first configuration is placed at once.
 func (fo *Follower) publish(be *belief, changed bool) {
 	snapshot := be.snapshot()
-	fo.view.store(snapshot)
 	if changed {
 		fo.changed(snapshot)
 	}
+	fo.view.store(snapshot)
 }
 
 // post changes the belief and returns once the change can be read.
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -106,6 +106,23 @@
 	eventually(t, func() bool { return view.Load().Version() == 6 })
 }
 
+// TestAChangeIsToldBeforeItIsShown checks that who sees a snapshot, or that the view
+// is ready, finds what follows from it done.
+func TestAChangeIsToldBeforeItIsShown(t *testing.T) {
+	store, view := newStubStore(), follow.NewView()
+	store.put("servers/a", entry)
+	store.put("op/config", configuration)
+	early := make(chan bool, 8)
+	_, stop := follow.New(store, view, follow.WithChanged(func(sn *follow.Snapshot) {
+		early <- view.Load() == sn
+	}))
+	defer stop()
+	<-view.Ready()
+	for range 2 { // the list, and the configuration
+		require.False(t, <-early, "the snapshot was shown first")
+	}
+}
+
 func TestLostStoreIsLoggedOnceAndKeepsTheBelief(t *testing.T) {
 	store, view, log := newStubStore(), follow.NewView(), &testkit.Lines{}
 	store.put("servers/a", entry)
