placement: a wait that leaves room for more urgent requests, and engines reserved by streams

Cause: the longest queue wait was a ratio, by priority, of the request's own target. And any stream within 0.6 of its gap target counted as jitter-sensitive, so that a second class's prompts were prefilled on the engines that are kept free of prefill, of which there was a fixed sixth.

Change: under high load a request waits at most until 0.6 of the shortest target of the more urgent classes in the same queues, less its own prefill; below high load a request that is late on one engine spills over, also with a long prefix. Of the streams that almost keep their target beside prompts only the most sensitive are kept apart. The number of reserved engines follows the streams in progress of all hosts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,7 +49,7 @@
 // yet.
 func (ga *Gateway) selectServer(re *request) (placement.Choice, *mp.Error) {
 	now := ga.clock.Now()
-	placementRequest := re.placementRequest(now)
+	placementRequest := re.placementRequest(now, ga.workloadsOf(re.snapshot.Table).byService[re.service])
 	ga.placerMu.Lock()
 	ch, ok := ga.placer.Choose(now, placementRequest)
 	late := ch.Lateness(placementRequest)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	placerMu  sync.Mutex
 	placer    *placement.Placer
 	loadTable *peer.LoadTable
+	workloads atomic.Pointer[workloads] // of the newest routing table
 
 	peers *peer.Node
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -69,17 +69,19 @@
 }
 
 // placementRequest returns the properties of the request that placement needs.
-func (re *request) placementRequest(now time.Time) *placement.Request {
+func (re *request) placementRequest(now time.Time, wo placement.Workload) *placement.Request {
+	tolerance := jitterTolerance(re.snapshot.Table, re.route, re.service)
 	return &placement.Request{
-		TimeToDeadline:  re.remaining(now),
-		Priority:        re.rank.Priority,
-		JitterSensitive: isJitterSensitive(re.snapshot.Table, re.route, re.service),
-		Service:         re.service,
-		Prompt:          re.headers.PromptSegments,
-		PromptTokens:    re.headers.PromptTokens,
-		BodyBytes:       len(re.body),
-		LatencyTarget:   re.route.LatencyTarget,
-		Exclude:         re.tried,
+		TimeToDeadline:      re.remaining(now),
+		Priority:            re.rank.Priority,
+		JitterSensitive:     wo.JitterSensitive(tolerance),
+		Service:             re.service,
+		Prompt:              re.headers.PromptSegments,
+		PromptTokens:        re.headers.PromptTokens,
+		BodyBytes:           len(re.body),
+		LatencyTarget:       re.route.LatencyTarget,
+		UrgentLatencyTarget: wo.UrgentLatencyTarget(re.route.Priority, tolerance),
+		Exclude:             re.tried,
 	}
 }
 
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -5,7 +5,6 @@
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/placement"
-	"github.com/mangopaddle/mangopaddle/routing"
 )
 
 // updateServers passes the ready backend servers to the placer.
@@ -13,7 +12,7 @@
 	if snapshot.Table == nil {
 		return
 	}
-	jitterSensitive := jitterSensitiveServices(snapshot.Table)
+	workloads := ga.workloadsOf(snapshot.Table).byService
 	servers := make([]placement.Server, 0, len(snapshot.Servers))
 	for _, se := range snapshot.Servers {
 		if se.State != directory.Ready {
@@ -27,7 +26,7 @@
 			Slots:                 se.Slots,
 			Distance:              ga.distance(se.DataCentre),
 			IsEngine:              ok && service.Engine != nil,
-			ServesJitterSensitive: jitterSensitive[se.Service],
+			ServesJitterSensitive: workloads[se.Service].HasJitterSensitive(),
 		})
 	}
 	ga.placerMu.Lock()
@@ -35,27 +34,6 @@
 	ga.placerMu.Unlock()
 }
 
-// jitterSensitiveServices returns the services that receive jitter-sensitive
-// streams.
-func jitterSensitiveServices(table *routing.Table) map[mp.ServiceName]bool {
-	sensitive := map[mp.ServiceName]bool{}
-	for _, ro := range table.Routes() {
-		for _, weighted := range ro.WeightedServices {
-			if isJitterSensitive(table, ro, weighted.Service) {
-				sensitive[weighted.Service] = true
-			}
-		}
-	}
-	return sensitive
-}
-
-// isJitterSensitive reports whether the events of a route's streams must follow each
-// other closely at a service.
-func isJitterSensitive(table *routing.Table, ro *routing.Route, name mp.ServiceName) bool {
-	service, ok := table.Service(name)
-	return ok && service.Engine != nil && placement.IsJitterSensitive(ro.EventGapTarget, service.Engine.TokensPerEvent)
-}
-
 // peerLoad returns the load that other hosts have outstanding at a backend server.
 // The caller must hold placerMu.
 func (ga *Gateway) peerLoad(id mp.ServerID) placement.Load {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -42,7 +42,8 @@
 			onTime = onTime.cheaper(candidate)
 		}
 	}
-	if best.Lateness(rq) > 0 && onTime.Server.ID != "" && sharedPrefix <= maxRegionalPrefix {
+	maySpill := sharedPrefix <= maxRegionalPrefix || loadLevel(meanQueueWait, rq.shortestTarget()) < 1
+	if maySpill && best.Lateness(rq) > 0 && onTime.Server.ID != "" {
 		return onTime.Choice
 	}
 	return best.Choice
@@ -77,22 +78,60 @@
 const (
 	// lowLoadWait and highLoadWait are mean queue waits over the engines of a
 	// service. Up to the first, lowLoadWaitRatios apply; from the second,
-	// highLoadWaitRatios; in between, the ratio is interpolated.
+	// highLoadWaitRatios; in between, the limit is interpolated.
 	lowLoadWait  = 60 * time.Millisecond
 	highLoadWait = 180 * time.Millisecond
+	// lowLoadRatio and highLoadRatio bound the two by the shortest latency target
+	// in the queues: streams that must start sooner are late at shorter waits.
+	lowLoadRatio  = 0.1
+	highLoadRatio = 0.3
+	// urgentWaitRatio is the fraction of the target of a more urgent request that
+	// may pass before its own prompt is prefilled.
+	urgentWaitRatio = 0.6
 	// maxDeadlineRatio is the fraction of the time to the deadline within which
 	// the first event must be expected.
 	maxDeadlineRatio = 0.7
 )
 
-// maxWaitRatio returns the maximum queue wait of a request of a priority as a
-// ratio of the latency target, given the mean queue wait of the service's
-// engines.
-func maxWaitRatio(priority int, meanQueueWait time.Duration) float64 {
-	ix := min(max(0, priority), len(highLoadWaitRatios)-1)
-	loadLevel := float64(meanQueueWait-lowLoadWait) / float64(highLoadWait-lowLoadWait)
-	loadLevel = min(max(0, loadLevel), 1)
-	return lowLoadWaitRatios[ix] + loadLevel*(highLoadWaitRatios[ix]-lowLoadWaitRatios[ix])
+// loadLevel returns where the mean queue wait of the service's engines is between
+// low load (0) and high load (1), for requests whose shortest target is the given one.
+func loadLevel(meanQueueWait, shortestTarget time.Duration) float64 {
+	low := min(lowLoadWait, time.Duration(lowLoadRatio*float64(shortestTarget)))
+	high := min(highLoadWait, time.Duration(highLoadRatio*float64(shortestTarget)))
+	if meanQueueWait >= high {
+		return 1
+	}
+	return max(0, float64(meanQueueWait-low)/float64(high-low))
+}
+
+// maxQueueWait returns the maximum queue wait of the request, given the mean queue
+// wait of the service's engines and the time in which its own prompt is prefilled.
+func (rq *Request) maxQueueWait(meanQueueWait, prefill time.Duration) time.Duration {
+	ix := min(max(0, rq.Priority), len(highLoadWaitRatios)-1)
+	lowLoad := lowLoadWaitRatios[ix] * float64(rq.LatencyTarget)
+	highLoad := highLoadWaitRatios[ix] * float64(rq.LatencyTarget)
+	if rq.UrgentLatencyTarget > 0 {
+		highLoad = min(highLoad, rq.maxWaitBeforeUrgent(prefill))
+	}
+	return time.Duration(lowLoad + loadLevel(meanQueueWait, rq.shortestTarget())*(highLoad-lowLoad))
+}
+
+// maxWaitBeforeUrgent returns the maximum queue wait, in nanoseconds, with which a more
+// urgent request that arrives next in the same queue is still in time behind this one
+// and its prompt. Without that bound, requests with a generous target or a long prompt
+// would fill the queues up to a length at which more urgent ones are late or refused.
+func (rq *Request) maxWaitBeforeUrgent(prefill time.Duration) float64 {
+	bound := urgentWaitRatio*float64(rq.UrgentLatencyTarget) - float64(prefill)
+	return max(bound, lowLoadRatio*float64(rq.UrgentLatencyTarget))
+}
+
+// shortestTarget returns the shortest latency target of the request itself and the more
+// urgent ones that wait in the same queues.
+func (rq *Request) shortestTarget() time.Duration {
+	if rq.UrgentLatencyTarget > 0 {
+		return min(rq.LatencyTarget, rq.UrgentLatencyTarget)
+	}
+	return rq.LatencyTarget
 }
 
 // meanQueueWait returns how long a new prompt would wait behind the queued ones
@@ -120,7 +159,7 @@
 	if !ch.Server.IsEngine {
 		return 0
 	}
-	lateness := ch.QueueWait - time.Duration(maxWaitRatio(rq.Priority, ch.MeanQueueWait)*float64(rq.LatencyTarget))
+	lateness := ch.QueueWait - rq.maxQueueWait(ch.MeanQueueWait, prefillDuration(ch.PrefillTokens))
 	if rq.TimeToDeadline > 0 {
 		lateness = max(lateness, ch.ExpectedLatency-time.Duration(maxDeadlineRatio*float64(rq.TimeToDeadline)))
 	}
--- a/placement/jitter.go
+++ b/placement/jitter.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -8,19 +10,17 @@
 )
 
 const (
-	// enginesPerReserved is the number of engines of a service for each one
-	// reserved for jitter-sensitive streams.
-	enginesPerReserved = 6
-	// minEnginesToReserve is the number of engines a service must have for any
-	// to be reserved.
-	minEnginesToReserve = 6
 	// maxPrefillChunk is the maximum number of prompt tokens that an engine
 	// prefills in one step.
 	maxPrefillChunk mp.Tokens = 1024
 	// maxGapTargetRatio is the fraction of the target for the gap between
-	// events that an event may take while the engine prefills prompts. A stream
-	// that needs more is jitter-sensitive.
+	// events that an event may take while the engine prefills prompts. Engines
+	// differ in speed, so a stream that needs more may miss its target.
 	maxGapTargetRatio = 0.6
+	// toleranceSpread is by how much the token intervals that two classes
+	// tolerate may differ for both to count as the most sensitive.
+	toleranceSpread = 1.3
+
 	// interferenceCost is the cost of running a jitter-sensitive stream on an
 	// engine that prefills prompts, or the reverse.
 	interferenceCost = 250 * time.Millisecond
@@ -32,35 +32,122 @@
 	latencyPerStream = 5 * time.Millisecond
 )
 
-// IsJitterSensitive reports whether a stream would miss its target for the gap
-// between events on an engine that prefills prompts in every step. Each event
-// carries tokensPerEvent tokens. It returns false if either value is not positive.
-func IsJitterSensitive(eventGapTarget time.Duration, tokensPerEvent int) bool {
+// JitterTolerance is the longest interval between the tokens of a stream with
+// which the stream still meets its target for the gap between events; zero for a
+// stream without such a target.
+type JitterTolerance time.Duration
+
+// NewJitterTolerance returns the tolerance of a stream whose events carry
+// tokensPerEvent tokens. It is zero if either value is not positive.
+func NewJitterTolerance(eventGapTarget time.Duration, tokensPerEvent int) JitterTolerance {
 	if eventGapTarget <= 0 || tokensPerEvent <= 0 {
-		return false
+		return 0
 	}
-	eventInterval := time.Duration(tokensPerEvent) * prefillDuration(maxPrefillChunk)
-	return float64(eventInterval) > maxGapTargetRatio*float64(eventGapTarget)
+	return JitterTolerance(eventGapTarget / time.Duration(tokensPerEvent))
 }
 
-// reserveEngines marks the engines of a service that are reserved for
-// jitter-sensitive streams, if it has such streams. The ranking by hash makes
-// all hosts reserve the same engines.
-func reserveEngines(servers []*server) {
-	ranked := slices.Clone(servers)
-	slices.SortFunc(ranked, func(a, b *server) int {
-		if mixBits(a.hash) < mixBits(b.hash) {
-			return -1
+// IsSensitive reports whether a stream is to be kept apart from the prefill of
+// prompts, given the tolerances of all classes of its service. It is if it can't
+// keep its target on an engine that prefills prompts in every step. If only an
+// engine slower than the nominal one is too slow for it, it is kept apart unless
+// another class tolerates less: its own prompts would delay the streams of that
+// class.
+func (jt JitterTolerance) IsSensitive(classes []JitterTolerance) bool {
+	stepDuration := prefillDuration(maxPrefillChunk)
+	if jt == 0 || float64(stepDuration) <= maxGapTargetRatio*float64(jt) {
+		return false
+	}
+	if time.Duration(jt) < stepDuration {
+		return true
+	}
+	for _, other := range classes {
+		if other > 0 && float64(jt) > toleranceSpread*float64(other) {
+			return false
 		}
-		return 1
+	}
+	return true
+}
+
+const (
+	// minEnginesToReserve is the number of engines a service must have for any
+	// to be reserved.
+	minEnginesToReserve = 6
+	// maxReservedRatio is the maximum fraction of a service's engines that are
+	// reserved.
+	maxReservedRatio = 0.5
+	// minReservedRatio is the minimum fraction, so that streams find engines
+	// without prefill when their number grows from zero.
+	minReservedRatio = 1.0 / 6
+	// reservedOccupancy is the fraction of the slots of the reserved engines
+	// that the present streams may take. The rest is for those that start before
+	// hosts have told each other.
+	reservedOccupancy = 0.5
+	// reserveInterval is the time between two adjustments of the reservation.
+	reserveInterval = 100 * time.Millisecond
+	// reserveHalfLife is the half-life of the number of streams that engines are
+	// reserved for, after it has fallen. A slow decrease lets engines keep the
+	// prefixes that they own.
+	reserveHalfLife = 4 * time.Second
+)
+
+// reservation decides how many engines of a service are reserved for
+// jitter-sensitive streams. All hosts rank the engines alike and know the same
+// streams, so that they reserve the same engines.
+type reservation struct {
+	// ranked are the engines, in the order in which they are reserved.
+	ranked []*server
+	count  int
+	// streams is the number of streams that engines are reserved for, at the time
+	// adjustedAt.
+	streams    float64
+	adjustedAt time.Time
+}
+
+// setEngines replaces the engines of the service.
+func (re *reservation) setEngines(engines []*server) {
+	re.ranked = slices.Clone(engines)
+	slices.SortFunc(re.ranked, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(mixBits(a.hash), mixBits(b.hash)), cmp.Compare(a.ID, b.ID))
 	})
-	count := 0
-	if len(servers) >= minEnginesToReserve && servers[0].ServesJitterSensitive {
-		count = max(1, len(servers)/enginesPerReserved)
+	re.reserve()
+}
+
+// adjust updates the reservation to the number of jitter-sensitive streams in
+// progress at all engines of the service.
+func (re *reservation) adjust(now time.Time, streamsInProgress func(*server) int) {
+	elapsed := now.Sub(re.adjustedAt)
+	if elapsed < reserveInterval {
+		return
 	}
-	for ix, se := range ranked {
-		se.reserved = ix < count
+	total := 0
+	for _, se := range re.ranked {
+		total += streamsInProgress(se)
 	}
+	remembered := re.streams * math.Exp2(-elapsed.Seconds()/reserveHalfLife.Seconds())
+	re.streams, re.adjustedAt = max(float64(total), remembered), now
+	re.reserve()
+}
+
+// reserve marks the engines that are reserved.
+func (re *reservation) reserve() {
+	re.count = re.target()
+	for ix, se := range re.ranked {
+		se.reserved = ix < re.count
+	}
+}
+
+// target returns the number of engines to reserve.
+func (re *reservation) target() int {
+	engines := len(re.ranked)
+	if engines < minEnginesToReserve || !re.ranked[0].ServesJitterSensitive {
+		return 0
+	}
+	count := max(1, int(minReservedRatio*float64(engines)))
+	if slots := re.ranked[0].Slots; slots > 0 {
+		needed := math.Ceil(re.streams / (reservedOccupancy * float64(slots)))
+		count = max(count, int(needed))
+	}
+	return min(count, int(maxReservedRatio*float64(engines)))
 }
 
 // matchingEngines returns the engines reserved for jitter-sensitive streams, or
@@ -85,5 +172,11 @@
 	if rq.JitterSensitive {
 		return interferenceCost
 	}
-	return interferenceCost + time.Duration(se.streams+pl.peerLoad(se.ID).Streams)*interferenceCostPerStream
+	return interferenceCost + time.Duration(pl.streams(se))*interferenceCostPerStream
+}
+
+// streams returns the number of jitter-sensitive streams of all hosts in progress
+// at an engine.
+func (pl *Placer) streams(se *server) int {
+	return se.streams + pl.peerLoad(se.ID).Streams
 }
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -50,14 +50,56 @@
 	run   func(now time.Time)
 }
 
-// simulate sends a load through a placer to engines that prefill prompts in
+// simulation is a load on a fleet of engines, sent by hosts that each get an equal part
+// of it.
+type simulation struct {
+	load     []requestClass // by priority, most urgent first
+	scale    float64        // multiplies the rates of the load
+	duration time.Duration
+	engines  int
+	hosts    int
+	// firstPriority is the priority of the first class.
+	firstPriority int
+	// warm reports that the engines have the prefixes cached that they own.
+	warm bool
+}
+
+// loadInterval is how often the hosts tell each other their loads.
+const loadInterval = 100 * time.Millisecond
+
+// newHosts returns the placers of the hosts, and a function by which they tell each
+// other their loads.
+func newHosts(seed uint64, engines, hosts int) (placers []*placement.Placer, exchange func()) {
+	total := map[mp.ServerID]placement.Load{}
+	told := make([]map[mp.ServerID]placement.Load, hosts)
+	for ix := range hosts {
+		pl := placement.New(placement.WithSeed(seed+uint64(ix)), placement.WithPeerLoad(func(id mp.ServerID) placement.Load {
+			return placement.Load{
+				PrefillTokens: total[id].PrefillTokens - told[ix][id].PrefillTokens,
+				Streams:       total[id].Streams - told[ix][id].Streams,
+			}
+		}))
+		pl.SetServers(fleet(engines, false))
+		placers = append(placers, pl)
+	}
+	return placers, func() {
+		clear(total)
+		for ix, pl := range placers {
+			told[ix] = pl.Loads()
+			for id, load := range told[ix] {
+				sum := total[id]
+				total[id] = placement.Load{PrefillTokens: sum.PrefillTokens + load.PrefillTokens, Streams: sum.Streams + load.Streams}
+			}
+		}
+	}
+}
+
+// simulate sends a load through the hosts' placers to engines that prefill prompts in
 // order of arrival. It returns the results by class, and the fraction of the
 // engines' time that was used.
-func simulate(seed uint64, load []requestClass, scale float64, duration time.Duration) (map[string]classResult, float64) {
-	const engines = 12
+func simulate(seed uint64, sim simulation) (map[string]classResult, float64) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	pl := placement.New(placement.WithSeed(seed))
-	pl.SetServers(fleet(engines, false))
+	placers, exchange := newHosts(seed, sim.engines, sim.hosts)
 	results := map[string]classResult{}
 	cached := map[mp.ServerID]map[uint64]bool{}
 	freeAt := map[mp.ServerID]time.Time{}
@@ -76,8 +118,10 @@
 			PromptTokens:   rc.prefixTokens + rc.uniqueTokens,
 			LatencyTarget:  rc.latencyTarget,
 			TimeToDeadline: rc.deadline,
-			Priority:       priority,
+			Priority:       sim.firstPriority + priority,
 		}
+		rq.UrgentLatencyTarget = sim.urgentTarget(priority)
+		pl := placers[random.IntN(len(placers))]
 		result := results[rc.name]
 		result.offered++
 		ch, _ := pl.Choose(now, rq)
@@ -93,7 +137,7 @@
 			cached[id] = map[uint64]bool{}
 		}
 		prefillTokens := rq.PromptTokens
-		if cached[id][prefixID] {
+		if cached[id][prefixID] || (sim.warm && ch.PrefixCached) {
 			prefillTokens -= rc.prefixTokens
 		}
 		cached[id][prefixID] = true
@@ -116,9 +160,12 @@
 			results[rc.name] = result
 		})
 	}
-	for priority, rc := range load {
-		for at := start; at.Before(start.Add(duration)); {
-			at = at.Add(time.Duration(random.ExpFloat64() / (rc.rate * scale) * float64(time.Second)))
+	for at := start; at.Before(start.Add(sim.duration)); at = at.Add(loadInterval) {
+		push(at, func(time.Time) { exchange() })
+	}
+	for priority, rc := range sim.load {
+		for at := start; at.Before(start.Add(sim.duration)); {
+			at = at.Add(time.Duration(random.ExpFloat64() / (rc.rate * sim.scale) * float64(time.Second)))
 			push(at, func(now time.Time) { arrive(now, priority, rc) })
 		}
 	}
@@ -127,7 +174,18 @@
 		events = events[1:]
 		next.run(next.at)
 	}
-	return results, busy.Seconds() / duration.Seconds() / engines
+	return results, busy.Seconds() / sim.duration.Seconds() / float64(sim.engines)
+}
+
+// urgentTarget returns the shortest latency target of the more urgent classes.
+func (sim simulation) urgentTarget(priority int) time.Duration {
+	var shortest time.Duration
+	for _, rc := range sim.load[:priority] {
+		if shortest == 0 || rc.latencyTarget < shortest {
+			shortest = rc.latencyTarget
+		}
+	}
+	return shortest
 }
 
 // TestOverloadShedsLeastUrgentRequests offers more prompts than the engines can
@@ -136,7 +194,7 @@
 func TestOverloadShedsLeastUrgentRequests(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			results, utilisation := simulate(seed, peakLoad, 2, 12*time.Second)
+			results, utilisation := simulate(seed, simulation{load: peakLoad, scale: 2, duration: 12 * time.Second, engines: 12, hosts: 1})
 			require.GreaterOrEqual(t, results["question"].attainment(), 0.99)
 			require.Zero(t, results["question"].refused)
 			require.GreaterOrEqual(t, results["check"].attainment(), 0.95)
@@ -153,10 +211,36 @@
 func TestLoadWithinCapacityMeetsTargets(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			results, _ := simulate(seed, peakLoad, 0.5, 20*time.Second)
+			results, _ := simulate(seed, simulation{load: peakLoad, scale: 0.5, duration: 20 * time.Second, engines: 12, hosts: 1})
 			for name, result := range results {
 				require.GreaterOrEqual(t, result.attainment(), 0.97, name)
 			}
 		})
 	}
 }
+
+// generousTargetLoad is the load of a fleet of 12 engines in a burst in which the least
+// urgent class has the most generous target and the longest prompts: digests (priority
+// 2) would fill the queues up to a length at which guides (priority 1) are late.
+var generousTargetLoad = []requestClass{
+	{name: "guide", rate: 20, prefixTokens: 6300, prefixes: 60, uniqueTokens: 2890, latencyTarget: 800 * time.Millisecond, deadline: 6 * time.Second},
+	{name: "digest", rate: 95, prefixTokens: 13_300, prefixes: 120, uniqueTokens: 3720, latencyTarget: 2 * time.Second, deadline: 12 * time.Second},
+}
+
+// TestGenerousTargetsDontCrowdOutUrgentRequests offers more digests than the engines can
+// prefill, from few and many hosts. The more urgent guides must be served in time, and
+// refused no more often than the digests; the engines must stay busy.
+func TestGenerousTargetsDontCrowdOutUrgentRequests(t *testing.T) {
+	for _, hosts := range []int{1, 8, 60} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			for seed := uint64(1); seed <= 4; seed++ {
+				results, utilisation := simulate(seed, simulation{load: generousTargetLoad, scale: 2, duration: 12 * time.Second, engines: 12, hosts: hosts, firstPriority: 1, warm: true})
+				t.Logf("seed %d: %+v, utilisation %.3f", seed, results, utilisation)
+				require.GreaterOrEqual(t, results["guide"].attainment(), 0.95)
+				require.Positive(t, results["digest"].refused, "the load exceeds the prefill capacity")
+				require.Zero(t, results["digest"].late, "accepted requests start in time")
+				require.GreaterOrEqual(t, utilisation, 0.85)
+			}
+		})
+	}
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -38,6 +38,9 @@
 	// LatencyTarget is the target for the time to the first event of a stream,
 	// or to the whole response.
 	LatencyTarget time.Duration
+	// UrgentLatencyTarget is the shortest latency target of the more urgent
+	// requests that wait in the same queues; zero if there are none.
+	UrgentLatencyTarget time.Duration
 	// TimeToDeadline is the time until the deadline; zero if there is none.
 	TimeToDeadline time.Duration
 	// Priority is the priority level; 0 is the most urgent.
@@ -117,6 +120,9 @@
 	peerLoad func(mp.ServerID) Load
 	servers  map[mp.ServerID]*server
 	services map[mp.ServiceName][]*server
+	// reservations holds the engines that are reserved for jitter-sensitive
+	// streams, by service.
+	reservations map[mp.ServiceName]*reservation
 }
 
 // Option configures a placer.
@@ -149,6 +155,8 @@
 		peerLoad: func(mp.ServerID) Load { return Load{} },
 		servers:  map[mp.ServerID]*server{},
 		services: map[mp.ServiceName][]*server{},
+
+		reservations: map[mp.ServiceName]*reservation{},
 	}
 	for _, opt := range opts {
 		opt(pl)
@@ -171,9 +179,25 @@
 		services[description.Service] = append(services[description.Service], se)
 	}
 	pl.servers, pl.services = kept, services
-	for _, group := range services {
-		reserveEngines(group)
+	reservations := make(map[mp.ServiceName]*reservation, len(services))
+	for name, group := range services {
+		re, ok := pl.reservations[name]
+		if !ok {
+			re = &reservation{}
+		}
+		re.setEngines(group)
+		reservations[name] = re
+	}
+	pl.reservations = reservations
+}
+
+// ReservedEngines returns the number of engines of a service that are reserved for
+// jitter-sensitive streams.
+func (pl *Placer) ReservedEngines(service mp.ServiceName) int {
+	if re, ok := pl.reservations[service]; ok {
+		return re.count
 	}
+	return 0
 }
 
 // ServerCount returns the number of servers of a service that may get requests.
@@ -189,6 +213,7 @@
 	if !candidates[0].IsEngine {
 		return pl.chooseReplica(now, candidates), true
 	}
+	pl.reservations[rq.Service].adjust(now, pl.streams)
 	return pl.chooseEngine(now, rq, candidates), true
 }
 
