gateway, backend, engine, peer: servers that send what is no answer, and stalled streams

By reading: messages between hosts had no bound in size, load updates could be negative; on the own API an engine's comments kept a stream alive for ever and a 500 counted as not run.

Change: a connection is pooled only after the response was read to its end; bounds in bytes; progress of a stream is an event with an identifier, events without one are held until the next or the regular end; the listener stays open until no request is in flight. TestProxyModes takes the reset from the dial or the read, and nothing else.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -23,6 +23,9 @@
 	minAsyncBodyBytes     = 4 << 10  // longer bodies are written concurrently with reading
 	maxResponses          = 8        // responses read for one request, with interim (1xx) and skipped ones
 	maxUnrelatedResponses = 4        // responses to other requests that are skipped
+	// maxUnrelatedBytes is the longest body of a response to another request that
+	// is skipped.
+	maxUnrelatedBytes = 256 << 10
 )
 
 // Errors of an exchange. Callers may get their texts, which call a response an
@@ -45,6 +48,7 @@
 
 	idleSince   time.Time
 	idleTimeout time.Duration
+	exchanges   int         // requests sent so far
 	broken      atomic.Bool // must not be reused
 	bodyWritten chan error  // result of writing a long body concurrently
 }
@@ -99,6 +103,10 @@
 	return err == nil && open
 }
 
+// Reused reports whether the connection has carried an earlier request, a late
+// response to which may arrive in place of the one to the present request.
+func (co *Conn) Reused() bool { return co.exchanges > 1 }
+
 // Exchange is a request that was sent, with its response. It must be ended with
 // Finish or Abort.
 type Exchange struct {
@@ -106,16 +114,31 @@
 	Response *http.Response
 	conn     *Conn
 	pool     *Pool
+	body     *bodyReader
 	stop     func() bool // detaches the exchange from its context; false if that has ended
 	finished bool
 }
 
+// bodyReader reads the body of a response and remembers whether it was read to its end.
+type bodyReader struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (br *bodyReader) Read(data []byte) (int, error) {
+	count, err := br.ReadCloser.Read(data)
+	br.ended = br.ended || err == io.EOF
+	return count, err
+}
+
 // Send writes a request and reads the header of its response. The connection is
 // closed when the context ends. The function matches reports whether a response
 // belongs to the request. The header must arrive within readTimeout, unless
 // that is zero; the deadline also applies to the body until SetReadDeadline
 // changes it. After an error, the server may or may not have run the request.
 func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, readTimeout time.Duration, matches func(*http.Response) bool) (*Exchange, error) {
+	co.exchanges++
 	if readTimeout > 0 {
 		_ = co.net.SetReadDeadline(time.Now().Add(readTimeout))
 	}
@@ -133,6 +156,8 @@
 		ex.Abort()
 		return nil, errors.Trace(err)
 	}
+	ex.body = &bodyReader{ReadCloser: response.Body, ended: response.Body == http.NoBody}
+	response.Body = ex.body
 	ex.Response = response
 	return ex, nil
 }
@@ -172,9 +197,13 @@
 		if unrelated > maxUnrelatedResponses || response.Close {
 			return nil, errors.Trace(ErrNoMatchingResponse)
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnrelatedBytes+1))
+		if err != nil {
 			return nil, errors.Annotate(err, "answer to another request")
 		}
+		if skipped > maxUnrelatedBytes {
+			return nil, errors.Annotatef(ErrNoMatchingResponse, "one of over %d bytes", maxUnrelatedBytes)
+		}
 	}
 	return nil, errors.Trace(ErrNoMatchingResponse)
 }
@@ -185,15 +214,25 @@
 	return ex.conn.net.SetReadDeadline(at)
 }
 
-// Finish ends an exchange whose response was read to its end. The connection is
-// returned to the pool if it can be reused. The server's idle timeout is zero
-// if it is unknown.
+// AtEnd reports whether the response ends where it was read to. It may wait for the
+// next byte.
+func (ex *Exchange) AtEnd() bool {
+	if !ex.body.ended {
+		var next [1]byte
+		_, _ = io.ReadFull(ex.body, next[:]) // an error other than the end leaves ended false
+	}
+	return ex.body.ended
+}
+
+// Finish ends an exchange. The connection is returned to the pool if the response was
+// read to its end and the connection can be reused. The server's idle timeout is zero if
+// it is unknown.
 func (ex *Exchange) Finish(idleTimeout time.Duration) {
 	if ex.finished {
 		return
 	}
 	co := ex.conn
-	if !ex.stop() || ex.Response.Close || co.broken.Load() || !co.bodySent() || co.reader.Buffered() > 0 {
+	if !ex.stop() || !ex.body.ended || ex.Response.Close || co.broken.Load() || !co.bodySent() || co.reader.Buffered() > 0 {
 		ex.Abort()
 		return
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -27,6 +27,10 @@
 	cancelTimeout            = 2 * time.Second
 	idleConnTimeout          = 30 * time.Second
 	maxIdleConnsPerEngine    = 64
+	// progressTimeoutFactor times the idle timeout is how long a stream that has begun
+	// may send data without an event. It is longer than the idle timeout, because a
+	// sound engine sends comments while a preempted request waits.
+	progressTimeoutFactor = 10
 	// connBufferBytes is the size of a connection's read buffer and of its write buffer.
 	// The default of net/http is 4 KiB; smaller buffers save 6 KB of memory for each
 	// open stream.
@@ -158,6 +162,10 @@
 		defer firstEventTimer.Stop()
 		rq.OnEvent = stopTimerOnEvent(firstEventTimer, rq.OnEvent)
 	}
+	progressTimer := cl.clock.AfterFunc(progressTimeoutFactor*cl.streamIdleTimeout, func() { cancel(errStreamIdle) })
+	defer progressTimer.Stop()
+	progressTimer.Stop() // runs only between events
+	rq.OnEvent = cl.restartTimerOnEvent(progressTimer, rq.OnEvent)
 	response, err := cl.send(ctx, rq)
 	if err != nil {
 		return cl.handleFailure(ctx, rq, StageSend, err)
@@ -204,6 +212,17 @@
 	}
 }
 
+// restartTimerOnEvent returns a function that calls onEvent and then gives the engine
+// the time of the timer for the next event.
+func (cl *Client) restartTimerOnEvent(timer clockwork.Timer, onEvent func(Event) error) func(Event) error {
+	return func(ev Event) error {
+		timer.Stop()
+		err := onEvent(ev)
+		timer.Reset(progressTimeoutFactor * cl.streamIdleTimeout)
+		return err
+	}
+}
+
 // handleFailure returns the Failure of an attempt. After an idle timeout it also
 // resets the engine's transport and cancels the request over a new connection,
 // because the engine may still be working on it.
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -9,7 +9,7 @@
 )
 
 // errStreamIdle is the cancellation cause of an attempt in which the engine sent no
-// data within the idle timeout.
+// data, or no event, within the timeout for it.
 const errStreamIdle = errors.ConstError("the engine sent no data within the stream idle timeout")
 
 // errFirstEventTimeout is the cancellation cause of an attempt whose first event
@@ -64,9 +64,13 @@
 func (fa *Failure) Unwrap() error { return fa.cause }
 
 // NotRun reports whether it is certain that the engine did no work, because it
-// refused the request or could not be reached.
+// refused the request or could not be reached. An engine that answers with a server
+// error other than 503 may have failed in the middle of the work.
 func (fa *Failure) NotRun() bool {
-	return fa.Stage == StageRefused || fa.Unreachable()
+	if fa.Stage == StageRefused {
+		return fa.Status < http.StatusInternalServerError || fa.Status == http.StatusServiceUnavailable
+	}
+	return fa.Unreachable()
 }
 
 // Unreachable reports whether no connection to the engine could be opened.
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -71,6 +72,48 @@
 	require.False(t, failure.NotRun())
 }
 
+// TestServerErrorMayHaveRun checks which answers of an engine tell that it did no work.
+func TestServerErrorMayHaveRun(t *testing.T) {
+	for status, notRun := range map[int]bool{
+		http.StatusTooManyRequests:     true,
+		http.StatusServiceUnavailable:  true,
+		http.StatusBadRequest:          true,
+		http.StatusInternalServerError: false,
+		http.StatusBadGateway:          false,
+		http.StatusGatewayTimeout:      false,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(status) }))
+		t.Cleanup(server.Close)
+		_, err := runRequest(t, strings.TrimPrefix(server.URL, "http://"), 0)
+		var failure *engine.Failure
+		require.ErrorAs(t, err, &failure)
+		require.Equal(t, notRun, failure.NotRun(), "status %d", status)
+	}
+}
+
+// TestStalledStreamFails plays an engine that sends comments without end after its first
+// event.
+func TestStalledStreamFails(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		_, _ = rw.Write([]byte(sseEvent(1, `"one"`)))
+		for rq.Context().Err() == nil {
+			_, _ = rw.Write([]byte(": waiting\n\n"))
+			_ = http.NewResponseController(rw).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(server.Close)
+	client, closeClient := engine.New(engine.WithStreamIdleTimeout(50 * time.Millisecond))
+	t.Cleanup(closeClient)
+	err := client.Run(t.Context(), engine.Request{
+		ID: "r", Address: strings.TrimPrefix(server.URL, "http://"), Path: "/v1/chat/completions", Body: []byte("{}"),
+		OnEvent: func(engine.Event) error { return nil },
+	})
+	var failure *engine.Failure
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.IdleTimedOut)
+}
+
 // FuzzRelay checks that for any bytes from an engine the token counts never
 // fall and that a stream without the end marker is an error.
 func FuzzRelay(f *testing.F) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,6 +28,9 @@
 	// maxBufferedBytes is the largest response body that is buffered before it is
 	// relayed to the caller.
 	maxBufferedBytes = 256 << 10
+	// maxResponseBytes is the largest response body that is relayed. A server may send
+	// bytes that are no response, without end.
+	maxResponseBytes = 64 << 20
 	// maxServersTried is the maximum number of backend servers tried for one
 	// request, including servers that could not be reached.
 	maxServersTried = 5
@@ -119,7 +122,7 @@
 	var headers platform.ResponseHeaders
 	matches := func(response *http.Response) bool {
 		headers = platform.DecodeResponseHeaders(response)
-		return re.matches(headers)
+		return re.matches(headers, co.Reused())
 	}
 	ex, err := co.Send(ctx, ga.backends, re.backendRequest(ch, sent), re.body, re.responseTimeout(ch), matches)
 	if err != nil {
@@ -163,10 +166,14 @@
 	return max(time.Duration(timeoutTargetFactor*float64(re.route.LatencyTarget)), timeoutExpectedFactor*ch.ExpectedLatency)
 }
 
-// matches reports whether a response belongs to the request. A misdirected
-// response may come without a request ID.
-func (re *request) matches(headers platform.ResponseHeaders) bool {
-	return headers.ID == re.headers.ID || (headers.ID == "" && headers.Misdirected)
+// matches reports whether a response belongs to the request. A misdirected response may
+// come without a request ID; on a reused connection, it may then be a late one to an
+// earlier request, and does not tell that this request was not run.
+func (re *request) matches(headers platform.ResponseHeaders, reused bool) bool {
+	if headers.ID == "" {
+		return headers.Misdirected && !reused
+	}
+	return headers.ID == re.headers.ID
 }
 
 // backendRequest returns the request to send to the backend server.
@@ -257,7 +264,10 @@
 	re.rw.WriteHeader(ex.Response.StatusCode)
 	_, err := re.rw.Write(head)
 	if err == nil {
-		_, err = io.Copy(re.rw, ex.Response.Body)
+		_, err = io.Copy(re.rw, io.LimitReader(ex.Response.Body, maxResponseBytes))
+	}
+	if err == nil && !ex.AtEnd() {
+		err = errors.Errorf("body over %d bytes", maxResponseBytes)
 	}
 	ga.recordResponse(re, ch.Server.ID, ex.Response.StatusCode, err)
 	if err != nil {
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -17,9 +17,14 @@
 	stopReserve = 300 * time.Millisecond
 )
 
+// drainPollInterval is how often a stopping host checks whether requests are in flight.
+const drainPollInterval = 50 * time.Millisecond
+
 // Drain shuts the host down gracefully: it reports itself as not ready, keeps
 // accepting requests until the load balancer has removed it, and then waits for the
-// requests in flight. It returns an error if some are left when ctx ends or the stop
+// requests in flight. Until these have ended it goes on accepting connections and refuses
+// their requests: closing the listener would reset the connections that it has not
+// accepted yet. Drain returns an error if requests are left when ctx ends or the stop
 // timeout is about to run out.
 func (ga *Gateway) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ga.settings.StopTimeout.Std()-stopReserve)
@@ -31,6 +36,13 @@
 	case <-ctx.Done():
 	}
 	ga.refusing.Store(true)
+	ga.callerServer.SetKeepAlivesEnabled(false)
+	for ga.inFlight.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ga.clock.After(drainPollInterval):
+		case <-ctx.Done():
+		}
+	}
 	if err := ga.callerServer.Shutdown(ctx); err != nil {
 		return errors.Annotatef(err, "%d requests still in flight at shutdown", ga.inFlight.Load())
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -59,24 +59,26 @@
 // errCallerWrite is the error of a failed or timed-out write to the caller.
 const errCallerWrite = errors.ConstError("write to the caller failed")
 
-// relayStream relays complete events as they arrive. A partial event at the point
-// where the backend server fails is discarded, so that the stream can be resumed on
-// another server.
+// relayStream relays complete events as they arrive. What follows the last of them when
+// the backend server fails is discarded, so that the stream can be resumed on another
+// server.
 func (ga *Gateway) relayStream(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	pending := make([]byte, 0, streamBufferBytes)
 	chunk := make([]byte, streamBufferBytes)
+	re.setStreamIdleDeadline(ex)
 	for {
-		re.setStreamIdleDeadline(ex)
 		count, err := ex.Response.Body.Read(chunk)
 		pending = append(pending, chunk[:count]...)
-		// The length of the complete events; less than that of a separator if there are none.
-		complete := bytes.LastIndex(pending, eventSeparator) + len(eventSeparator)
-		if complete >= len(eventSeparator) {
+		if bytes.Contains(pending, eventSeparator) {
 			recordFirstEvent()
-			if cause := ga.relayEvents(re, ex, pending[:complete]); cause != nil {
+			relayed, cause := ga.relayEvents(re, ex, pending)
+			if cause != nil {
 				return ga.streamFailure(re, ch, cause)
 			}
-			pending = append(pending[:0], pending[complete:]...)
+			if relayed > 0 {
+				pending = append(pending[:0], pending[relayed:]...)
+				re.setStreamIdleDeadline(ex)
+			}
 		}
 		switch {
 		case err == io.EOF:
@@ -84,7 +86,7 @@
 		case err != nil:
 			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "stream")}
 		case len(pending) > maxEventBytes:
-			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("event over %d bytes", maxEventBytes)}
+			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("over %d bytes without an event", maxEventBytes)}
 		}
 	}
 }
@@ -98,8 +100,9 @@
 )
 
 // setStreamIdleDeadline applies the idle timeout to a resumable stream that has
-// attempts left; other streams have none. Until an attempt has relayed the first event
-// of the request, responseTimeout applies instead.
+// attempts left; other streams have none. It is set again after each relayed event and
+// not for single bytes, which a stalled server may go on sending. Until an attempt has
+// relayed the first event of the request, responseTimeout applies instead.
 func (re *request) setStreamIdleDeadline(ex *backend.Exchange) {
 	if re.stream == nil || re.stream.firstAt.IsZero() {
 		return
@@ -125,35 +128,45 @@
 // eventSeparator terminates each event of a stream.
 var eventSeparator = []byte("\n\n")
 
-// relayEvents writes complete events to the caller, preceded by the response header
-// if they are the first. Events before one that is out of order are still relayed,
-// so that the stream can be resumed after them.
-func (ga *Gateway) relayEvents(re *request, ex *backend.Exchange, events []byte) error {
+// relayEvents writes the events of data that can be relayed to the caller, preceded by the
+// response header if they are the first, and returns their length. Events before one that
+// is out of order are still relayed, so that the stream can be resumed after them.
+func (ga *Gateway) relayEvents(re *request, ex *backend.Exchange, data []byte) (int, error) {
 	if re.stream == nil {
 		ga.beginStream(re, ex)
 	}
-	accepted, cause := re.stream.acceptEvents(events)
+	accepted, cause := re.stream.acceptEvents(data)
 	if len(accepted) > 0 {
 		re.stream.recordRelayed(ga.clock.Now())
 		if err := ga.writeAndFlush(re, accepted); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	return cause
+	return len(accepted), cause
 }
 
-// acceptEvents records complete events and returns those in sequence. It returns an
-// error at the first event that is out of order.
-func (st *streamState) acceptEvents(events []byte) ([]byte, error) {
-	length := 0
-	for length < len(events) {
-		end := length + bytes.Index(events[length:], eventSeparator) + len(eventSeparator)
-		if err := st.acceptEvent(events[length:end]); err != nil {
-			return events[:length], errors.Trace(err)
+// acceptEvents records the complete events at the beginning of data and returns those
+// that can be relayed: up to the last one with an ID. Events without an ID that follow it
+// are left for later, because only the next ID or the regular end of the stream shows
+// that they are part of it. A stream without any ID so far is relayed as it is.
+// acceptEvents returns an error at the first event that is out of order.
+func (st *streamState) acceptEvents(data []byte) ([]byte, error) {
+	relayable, end := 0, 0
+	for {
+		length := bytes.Index(data[end:], eventSeparator)
+		if length < 0 {
+			return data[:relayable], nil
+		}
+		event := data[end : end+length+len(eventSeparator)]
+		identified, err := st.acceptEvent(event)
+		if err != nil {
+			return data[:relayable], errors.Trace(err)
+		}
+		end += len(event)
+		if identified || st.events == 0 {
+			relayable = end
 		}
-		length = end
 	}
-	return events, nil
 }
 
 // beginStream initialises the stream state and writes the header of the backend
@@ -167,19 +180,19 @@
 	re.rw.WriteHeader(re.status)
 }
 
-// acceptEvent records one event. Event IDs must increase by one; an event without an
-// ID is not checked.
-func (st *streamState) acceptEvent(event []byte) error {
+// acceptEvent records one event and reports whether it has an ID. IDs must increase by
+// one.
+func (st *streamState) acceptEvent(event []byte) (bool, error) {
 	id, ok := eventID(event)
 	if !ok {
-		return nil
+		return false, nil
 	}
 	if st.events > 0 && id != st.lastID+1 {
-		return errors.Errorf("event %d follows event %d", id, st.lastID)
+		return true, errors.Errorf("event %d follows event %d", id, st.lastID)
 	}
 	st.lastID = id
 	st.events++
-	return nil
+	return true, nil
 }
 
 // eventID returns the ID of an event, and false if it has no valid one.
@@ -209,8 +222,12 @@
 }
 
 // finishStream ends the response after the regular end of the backend server's. rest is
-// what followed the last complete event; it is relayed too.
+// what followed the last relayed event; it is relayed too, unless it ends inside an event:
+// then the server broke off.
 func (ga *Gateway) finishStream(re *request, ch placement.Choice, ex *backend.Exchange, rest []byte, idleTimeout time.Duration) result {
+	if !endsWithEvent(rest) {
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.New("the stream ended inside an event")}
+	}
 	if re.stream == nil {
 		ga.beginStream(re, ex)
 	}
@@ -223,3 +240,9 @@
 	ga.recordResponse(re, ch.Server.ID, re.status, nil)
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
+
+// endsWithEvent reports whether data is blank or ends with a complete event.
+func endsWithEvent(data []byte) bool {
+	trimmed := bytes.TrimRight(data, "\r\n")
+	return len(trimmed) == 0 || bytes.HasPrefix(data[len(trimmed):], eventSeparator)
+}
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -62,6 +62,10 @@
 	recipients Recipients
 	delegate   LoadDelegate
 	sequence   uint64
+	// refused counts the updates that were refused; refusalLoggedAt is when the last
+	// one was logged.
+	refused         int64
+	refusalLoggedAt time.Time
 }
 
 // LoadBroadcasterOption configures a broadcaster.
@@ -125,8 +129,12 @@
 		if err != nil {
 			continue // usually the ICMP error for an earlier datagram that its receiver refused
 		}
-		var update LoadUpdate
-		if err := json.Unmarshal(data[:count], &update); err != nil || update.Host == "" || update.Host == lb.host {
+		update, err := decodeLoadUpdate(data[:count])
+		if err != nil {
+			lb.logRefusal(err)
+			continue
+		}
+		if update.Host == lb.host {
 			continue
 		}
 		if update.Aggregate && update.Relay {
@@ -137,6 +145,43 @@
 	}
 }
 
+// maxPlausibleLoad is the highest load at one server that is believed, in prompt tokens
+// or streams. A higher one can only be the result of a fault.
+const maxPlausibleLoad = 1 << 32
+
+// decodeLoadUpdate decodes a datagram. It returns an error if the datagram can't be
+// decoded, names no sender or has a load that can't be.
+func decodeLoadUpdate(data []byte) (LoadUpdate, error) {
+	var update LoadUpdate
+	if err := json.Unmarshal(data, &update); err != nil {
+		return LoadUpdate{}, errors.Annotate(err, "load update")
+	}
+	if update.Host == "" {
+		return LoadUpdate{}, errors.NotValidf("load update without a host")
+	}
+	for id, load := range update.Loads {
+		if load.PrefillTokens < 0 || load.PrefillTokens > maxPlausibleLoad || load.Streams < 0 || load.Streams > maxPlausibleLoad {
+			return LoadUpdate{}, errors.NotValidf("load update of host %q with %d tokens and %d streams at server %q", update.Host, load.PrefillTokens, load.Streams, id)
+		}
+	}
+	return update, nil
+}
+
+// refusalLogInterval is the shortest time between two log lines on refused updates.
+const refusalLogInterval = time.Second
+
+// logRefusal logs why an update was refused, at most once each refusalLogInterval. Only
+// the receiving goroutine calls it.
+func (lb *LoadBroadcaster) logRefusal(err error) {
+	lb.refused++
+	now := lb.clock.Now()
+	if now.Sub(lb.refusalLoggedAt) < refusalLogInterval {
+		return
+	}
+	lb.refusalLoggedAt = now
+	lb.logger.Warn().Str("event", "load_update_refused").Int64("refused_so_far", lb.refused).Err(err).Msg("load update refused")
+}
+
 // run sends updates at a jittered interval until it is stopped.
 func (lb *LoadBroadcaster) run(stop <-chan struct{}) {
 	for round := 0; ; round++ {
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -24,6 +25,10 @@
 	exchangeTimeout = 700 * time.Millisecond
 	// connectionLifetime is the maximum lifetime of an incoming connection.
 	connectionLifetime = 5 * time.Second
+	// maxExchangeBytes bounds what is read of one connection: several times the size
+	// of a configuration and a list of 10,000 servers. A connection that sends more
+	// can't exhaust the host's memory.
+	maxExchangeBytes = 8 << 20
 	// maxConnections is the maximum number of incoming connections; more are closed
 	// at once.
 	maxConnections = 32
@@ -164,11 +169,25 @@
 	}
 }
 
+// boundedConn is a connection of which at most a number of bytes can be read.
+type boundedConn struct {
+	net.Conn
+	reader io.Reader
+}
+
+// Read implements io.Reader.
+func (bc *boundedConn) Read(data []byte) (int, error) { return bc.reader.Read(data) }
+
+// newObjectStream returns the messages on a connection, up to maxExchangeBytes.
+func newObjectStream(nc net.Conn) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewPlainObjectStream(&boundedConn{Conn: nc, reader: io.LimitReader(nc, maxExchangeBytes)})
+}
+
 func (no *Node) serve(ctx context.Context, nc net.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, connectionLifetime)
 	defer cancel()
 	handler := jsonrpc2.HandlerWithError(no.handle)
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), handler)
+	conn := jsonrpc2.NewConn(ctx, newObjectStream(nc), handler)
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -258,7 +277,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.HandlerWithError(no.handle))
+	conn := jsonrpc2.NewConn(ctx, newObjectStream(nc), jsonrpc2.HandlerWithError(no.handle))
 	defer func() { _ = conn.Close() }()
 	sentAt := no.clock.Now()
 	response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{Version: maxVersion, ListRevision: maxVersion}}))
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -99,6 +100,7 @@
 	for ix := range 2 {
 		address := loopback.Address()
 		de.engines = append(de.engines, startProcess(t, "standin", "engine", "--listen", address, "--models", string(quickstart.ModelSmall)))
+		awaitListener(t, address)
 		de.fleet.Engines = append(de.fleet.Engines, config.Engine{
 			Name: mp.EngineID("e" + strconv.Itoa(ix)), Address: address, DataCentre: "d", Models: []mp.ModelID{quickstart.ModelSmall},
 		})
@@ -152,6 +154,18 @@
 	require.NoError(t, os.Rename(path+".new", path))
 }
 
+// awaitListener waits until a process listens on an address.
+func awaitListener(t *testing.T, address string) {
+	t.Helper()
+	testkit.Eventually(t, func() bool {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			return false
+		}
+		return nc.Close() == nil
+	}, "the process did not listen")
+}
+
 func (de *deployment) awaitReady(t *testing.T, ix int) {
 	t.Helper()
 	testkit.Eventually(t, func() bool {
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -108,21 +108,32 @@
 // other regions.
 const localTargetFraction = 0.3
 
-// chooseEngine returns the engine with the lowest score among those with capacity,
-// or the zero candidate if there is none. Engines of other regions are considered
+// eligibility tells which engines qualify for a request.
+type eligibility int
+
+const (
+	// withCapacity: engines that are not avoided and have capacity.
+	withCapacity eligibility = iota
+	// atAnyOccupancy: engines that are not avoided.
+	atAnyOccupancy
+	// evenAvoided: all engines.
+	evenAvoided
+)
+
+// chooseEngine returns the engine with the lowest score among the eligible ones, or
+// the zero candidate if there is none. Engines of other regions are considered
 // only if none in this region meets the target with a margin, because traffic
-// between regions is charged by the byte. With ignoreLimits set, engines without
-// capacity qualify too.
-func (sc *Scheduler) chooseEngine(now time.Time, rq *mp.Request, exclude mp.EngineID, ignoreLimits bool) candidate {
+// between regions is charged by the byte.
+func (sc *Scheduler) chooseEngine(now time.Time, rq *mp.Request, exclude mp.EngineID, eligible eligibility) candidate {
 	mg := sc.groups[rq.Model]
 	if mg == nil {
 		return candidate{}
 	}
-	local := sc.bestEngine(now, mg, rq, exclude, ignoreLimits, false)
+	local := sc.bestEngine(now, mg, rq, exclude, eligible, false)
 	if local.engine != nil && float64(local.score) <= localTargetFraction*float64(rq.FirstTokenTarget) {
 		return local
 	}
-	remote := sc.bestEngine(now, mg, rq, exclude, ignoreLimits, true)
+	remote := sc.bestEngine(now, mg, rq, exclude, eligible, true)
 	if local.engine == nil || (remote.engine != nil && remote.score < local.score) {
 		return remote
 	}
@@ -132,32 +143,40 @@
 // chooseForRetry returns an engine for a request whose attempt failed, preferably
 // another one than before, and without regard to concurrency limits. If an engine
 // of another region was unreachable, the other engines there probably are too, so
-// engines of this region come first.
+// engines of this region come first. If every other engine is avoided, one of them is
+// tried all the same: what kept requests away may be over, and the caller has begun to
+// get an answer.
 func (sc *Scheduler) chooseForRetry(now time.Time, rq *mp.Request, failed *engine, outcome mp.Outcome) candidate {
 	if outcome.Unreachable && failed.Distance == OtherRegion {
-		if local := sc.bestEngine(now, sc.groups[rq.Model], rq, failed.ID, true, false); local.engine != nil {
+		if local := sc.bestEngine(now, sc.groups[rq.Model], rq, failed.ID, atAnyOccupancy, false); local.engine != nil {
 			return local
 		}
 	}
-	if ca := sc.chooseEngine(now, rq, failed.ID, true); ca.engine != nil {
+	if ca := sc.chooseEngine(now, rq, failed.ID, atAnyOccupancy); ca.engine != nil {
+		return ca
+	}
+	if ca := sc.chooseEngine(now, rq, "", atAnyOccupancy); ca.engine != nil {
 		return ca
 	}
-	return sc.chooseEngine(now, rq, "", true)
+	return sc.chooseEngine(now, rq, failed.ID, evenAvoided)
 }
 
 // bestEngine returns the engine of the group with the lowest score, either from
 // this region or from other regions (remote). Ties are broken at random with equal
 // probability.
-func (sc *Scheduler) bestEngine(now time.Time, mg *modelGroup, rq *mp.Request, exclude mp.EngineID, ignoreLimits, remote bool) candidate {
+func (sc *Scheduler) bestEngine(now time.Time, mg *modelGroup, rq *mp.Request, exclude mp.EngineID, eligible eligibility, remote bool) candidate {
 	var best candidate
 	ties := 0
 	medianAnswer := mg.medianAnswer()
 	for _, en := range mg.engines {
-		if en.Draining || en.ID == exclude || en.isAvoided(now) || (en.Distance == OtherRegion) != remote {
+		if en.Draining || en.ID == exclude || (en.Distance == OtherRegion) != remote {
+			continue
+		}
+		if eligible != evenAvoided && en.isAvoided(now) {
 			continue
 		}
 		occupancy := en.occupancy(now, sc.hosts)
-		if !ignoreLimits && !en.hasCapacity(rq, occupancy, medianAnswer) {
+		if eligible == withCapacity && !en.hasCapacity(rq, occupancy, medianAnswer) {
 			continue
 		}
 		expectedTTFT := en.expectedTimeToFirstToken(now, rq, occupancy, medianAnswer)
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -185,7 +185,7 @@
 		return sc.bestEffort(now, mg, rq, fl, cost)
 	}
 	mg.demandByTier[rq.Tier].add(now, cost)
-	if ca := sc.chooseEngine(now, &rq, "", false); ca.engine != nil && !mg.hasWaitingAhead(rq.Tier) {
+	if ca := sc.chooseEngine(now, &rq, "", withCapacity); ca.engine != nil && !mg.hasWaitingAhead(rq.Tier) {
 		return sc.start(now, sc.admit(rq, fl, cost, promised), ca)
 	}
 	return sc.enqueue(now, mg, rq, fl, cost, promised)
@@ -197,7 +197,7 @@
 func (sc *Scheduler) bestEffort(now time.Time, mg *modelGroup, rq mp.Request, fl *flow, cost mp.Tokens) mp.Decision {
 	asLeastUrgent := rq
 	asLeastUrgent.Tier = mp.MaxTier
-	if ca := sc.chooseEngine(now, &asLeastUrgent, "", false); ca.engine != nil && mg.queue.Len() == 0 {
+	if ca := sc.chooseEngine(now, &asLeastUrgent, "", withCapacity); ca.engine != nil && mg.queue.Len() == 0 {
 		jo := sc.admit(rq, fl, 0, false)
 		jo.cost, jo.bestEffort = cost, true
 		return sc.start(now, jo, ca)
@@ -312,7 +312,7 @@
 			continue
 		}
 		jo := sc.jobs[it.ID]
-		ca := sc.chooseEngine(now, &jo.request, "", false)
+		ca := sc.chooseEngine(now, &jo.request, "", withCapacity)
 		if ca.engine == nil {
 			continue
 		}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -328,6 +328,21 @@
 	require.Contains(t, []mp.EngineID{"e0", "e1"}, again.Engine)
 }
 
+// TestRetryTriesAvoidedEngineRatherThanNone guards against breaking an answer that has
+// begun because a dial to the only other engine was refused a moment ago.
+func TestRetryTriesAvoidedEngineRatherThanNone(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(2, 4))
+	first := sc.Submit(epoch, request(1, 2))
+	second := sc.Reassign(epoch, "r1", mp.Outcome{Failed: true, Unreachable: true})
+	require.NotEqual(t, first.Engine, second.Engine)
+	third := sc.Reassign(epoch.Add(100*time.Millisecond), "r1", mp.Outcome{Failed: true, Unreachable: true})
+	require.Equal(t, mp.ActionStart, third.Action)
+	require.Equal(t, first.Engine, third.Engine, "the engine whose backoff began first")
+	waiting := sc.Submit(epoch.Add(100*time.Millisecond), request(2, 2))
+	require.NotEqual(t, mp.ActionStart, waiting.Action, "a new request waits for the end of the backoff")
+}
+
 // TestContentionOutweighsPrefixAffinity guards against sending a request to a nearly
 // full engine because its prefix is cached there, while another engine is idle.
 func TestContentionOutweighsPrefixAffinity(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -91,9 +92,17 @@
 	pr.SetMode(soak.Resetting)
 	_, err = exchange()
 	require.Error(t, err)
-	fresh, err := net.Dial("tcp", pr.Address())
-	require.NoError(t, err)
-	_, err = fresh.Read(make([]byte, 1))
-	require.Error(t, err, "new connections are reset too")
-	require.NoError(t, fresh.Close())
+	require.ErrorIs(t, dialAndRead(pr.Address()), syscall.ECONNRESET, "new connections are reset too")
+}
+
+// dialAndRead opens a connection and reads from it. It returns the error of either: a
+// reset may arrive before the dial has read the result of the connect.
+func dialAndRead(address string) error {
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = nc.Close() }()
+	_, err = nc.Read(make([]byte, 1))
+	return err
 }
