follow, peer, retry: what hosts do for each other at any number of hosts

Cause: a member was on a host's list for 30 s after an exchange and 15 s after a report, and exchanges are too rare for that with hundreds of hosts: a host knew and told only a part of its data centre (the new test has 200 hosts). A host that the store turned away or that was fed by others went on asking, each host read again and again after a common start because it knew no other, and the retry slack was divided by 100 whatever the number of hosts.

Change: a load update marks its sender as seen; samples of members are mostly of the receiver's data centre; a host sends and gets at most 200 load updates a second, and their lifetime follows the interval. When to read the store is a pure plan: hosts whose calls fail step back behind those that are served, and back off the longer the further behind they are. Gossip is fast only if the list is old too. The slack is divided by the hosts of the data centre times the data centres, with a margin.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -24,19 +24,9 @@
 	// watchCheckInterval is how often a host without a watch checks whether it
 	// should start one.
 	watchCheckInterval = 300 * time.Millisecond
-	// readerDelay is how much older the list may become before this host reads the
-	// store, for each host before it in the reader order, up to maxReaderOrder hosts.
-	// It comes on top of half a list interval; see waitForList.
-	readerDelay    = 150 * time.Millisecond
-	maxReaderOrder = 4
 	// callTimeout is the timeout of a call, on top of the time that the store may
 	// hold it open.
 	callTimeout = time.Second
-	// baseBackoff doubles with each failed call; maxBackoff limits the result.
-	baseBackoff = 100 * time.Millisecond
-	maxBackoff  = 500 * time.Millisecond
-	// maxBackoffDoublings keeps the doubled backoff from overflowing.
-	maxBackoffDoublings = 8
 	// expiryInterval is how often servers that are retained after a store outage are
 	// checked for expiry.
 	expiryInterval = 200 * time.Millisecond
@@ -279,26 +269,19 @@
 			failures++
 			fo.recordFailure("list", err)
 			fo.backoff(ctx, failures)
-			continue
+		} else {
+			failures = 0
+			fo.recordSuccess("list")
 		}
-		failures = 0
-		fo.recordSuccess("list")
-		fo.waitForList(ctx)
+		fo.waitForList(ctx, failures)
 	}
 }
 
-// waitForList waits until the server list is older than the list interval, or
-// until a list call is requested. Hosts behind the first in the reader order wait for
-// half an interval more, plus readerDelay for each host before them, and skip the call
-// if another host confirms in the meantime that the list is current.
-func (fo *Follower) waitForList(ctx context.Context) {
+// waitForList waits until the next list call is due or requested, after a number of
+// consecutive failed ones.
+func (fo *Follower) waitForList(ctx context.Context, failures int) {
 	for {
-		age := fo.clock.Since(fo.view.Load().ListConfirmedAt)
-		order := min(fo.readerOrder(), maxReaderOrder)
-		wait := fo.listInterval - age
-		if order > 0 {
-			wait += fo.listInterval/2 + time.Duration(order)*readerDelay
-		}
+		wait := fo.readPlan().UntilList(fo.readerOrder(), failures, fo.clock.Since(fo.view.Load().ListConfirmedAt))
 		if wait <= 0 {
 			return
 		}
@@ -312,6 +295,8 @@
 	}
 }
 
+func (fo *Follower) readPlan() ReadPlan { return ReadPlan{ListInterval: fo.listInterval} }
+
 // listOnce reads the server list, and the configuration if the store has changed
 // since the given revision. It returns the revision at which the configuration was
 // read last.
@@ -353,7 +338,7 @@
 // backoff waits after a failed call, with jitter so that hosts do not retry in
 // lockstep.
 func (fo *Follower) backoff(ctx context.Context, failures int) {
-	limit := min(maxBackoff, baseBackoff<<min(failures, maxBackoffDoublings))
+	limit := fo.readPlan().MaxBackoff(fo.readerOrder(), failures)
 	fo.sleep(ctx, limit/2+time.Duration(rand.Int64N(int64(limit/2))))
 }
 
@@ -389,11 +374,13 @@
 	fo.logger.Info().Str("event", "store_regained").Str("call", call).Dur("after", fo.clock.Since(since)).Msg("store available again")
 }
 
-// StoreUnavailable reports whether the last list call or the last watch call failed.
-func (fo *Follower) StoreUnavailable() bool {
+// NeedsPeers reports whether the store is unavailable to this host, and no other host
+// has confirmed its list within the list interval.
+func (fo *Follower) NeedsPeers() bool {
 	fo.mu.Lock()
-	defer fo.mu.Unlock()
-	return len(fo.failingSince) > 0
+	failing := len(fo.failingSince) > 0
+	fo.mu.Unlock()
+	return failing && fo.clock.Since(fo.view.Load().ListConfirmedAt) > fo.listInterval
 }
 
 // MergeConfiguration applies a peer's configuration if its version is higher.
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -134,13 +134,13 @@
 	defer stop()
 	<-view.Ready()
 	store.fail(errors.New("connection refused"))
-	requireEventually(t, func() bool { return fo.StoreUnavailable() })
+	requireEventually(t, func() bool { return fo.NeedsPeers() })
 	before := store.listCalls("servers/")
 	requireEventually(t, func() bool { return store.listCalls("servers/") > before+2 })
 	require.Equal(t, 1, strings.Count(log.Text(), `"call":"list"`))
 	require.Len(t, view.Load().Servers, 1)
 	store.fail(nil)
-	requireEventually(t, func() bool { return !fo.StoreUnavailable() })
+	requireEventually(t, func() bool { return !fo.NeedsPeers() })
 	require.Equal(t, 1, log.Count("store_regained"))
 }
 
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -5,9 +5,16 @@
 	"github.com/mangopaddle/mangopaddle/retry"
 )
 
-// maxHosts is the maximum number of hosts. Each one gets an equal part of the retry
-// slack, which is set for all hosts together.
-const maxHosts = 100
+// observeHosts records the number of live hosts of this data centre, by which the retry
+// slack is divided. While the host is starting it knows too few of them.
+func (ga *Gateway) observeHosts(local int) {
+	if ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod {
+		return
+	}
+	ga.budgetMu.Lock()
+	defer ga.budgetMu.Unlock()
+	ga.retrySlack.Observe(local)
+}
 
 // creditRetryBudget records a request in the retry budget of its service.
 func (ga *Gateway) creditRetryBudget(re *request) {
@@ -21,7 +28,7 @@
 func (ga *Gateway) withdrawRetry(re *request) bool {
 	ga.budgetMu.Lock()
 	defer ga.budgetMu.Unlock()
-	return ga.retryBudget(re.service).Withdraw(ga.clock.Now())
+	return ga.retryBudget(re.service).Withdraw(ga.clock.Now(), ga.retrySlack.Part())
 }
 
 // retryBudget returns the retry budget of a service, creating it on first use. The
@@ -29,7 +36,7 @@
 func (ga *Gateway) retryBudget(service mp.ServiceName) *retry.WindowBudget {
 	bu, ok := ga.retryBudgets[service]
 	if !ok {
-		bu = retry.NewWindowBudget(ga.settings.RetryWindow.Std(), ga.settings.RetryRatio, ga.settings.RetrySlack/maxHosts)
+		bu = retry.NewWindowBudget(ga.settings.RetryWindow.Std(), ga.settings.RetryRatio)
 		ga.retryBudgets[service] = bu
 	}
 	return bu
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,7 @@
 
 	budgetMu     sync.Mutex
 	retryBudgets map[mp.ServiceName]*retry.WindowBudget
+	retrySlack   *retry.SharedSlack
 
 	inFlight atomic.Int64
 	// draining reports that the host is shutting down and not ready any more; refusing
@@ -60,6 +62,9 @@
 	draining, refusing atomic.Bool
 
 	startedAt time.Time
+	// hasOtherSeeds reports that the seeds at the start were other hosts, from which
+	// this one learns the state.
+	hasOtherSeeds bool
 	// maintainedAt is the time of the last maintenance run. Only the maintenance
 	// goroutine uses it.
 	maintainedAt   time.Time
@@ -102,12 +107,14 @@
 		droppedLines:   func() int64 { return 0 },
 		loadTable:      peer.NewLoadTable(settings.Host),
 		retryBudgets:   map[mp.ServiceName]*retry.WindowBudget{},
+		retrySlack:     retry.NewSharedSlack(settings.RetrySlack, len(settings.Regions)),
 		listenerErrors: make(chan error, 4),
 	}
 	for _, opt := range opts {
 		opt(ga)
 	}
 	ga.startedAt = ga.clock.Now()
+	ga.hasOtherSeeds = len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.PeerAddress)
 	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad))
 	if err := ga.start(); err != nil {
 		ga.close()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -64,14 +64,16 @@
 
 // FastGossip implements peer.Delegate.
 func (ga *Gateway) FastGossip() bool {
-	return ga.view.Load().Version() == 0 || ga.follower.StoreUnavailable() || ga.clock.Since(ga.startedAt) < startupGossipPeriod
+	return ga.view.Load().Version() == 0 || ga.follower.NeedsPeers() || ga.clock.Since(ga.startedAt) < startupGossipPeriod
 }
 
 // LocalLoads implements peer.LoadDelegate. The broadcaster calls it in each round, so it
 // also drops the expired updates of other hosts.
-func (ga *Gateway) LocalLoads() (map[mp.ServerID]peer.Load, peer.Digest) {
+func (ga *Gateway) LocalLoads(peers int) (map[mp.ServerID]peer.Load, peer.Digest) {
+	ga.observeHosts(peers + 1)
 	ga.placerMu.Lock()
 	defer ga.placerMu.Unlock()
+	ga.loadTable.SetUpdateInterval(peer.UpdateInterval(peers))
 	ga.loadTable.Expire(ga.clock.Now())
 	return ga.outstandingLoads(), ga.digest(ga.view.Load())
 }
@@ -102,6 +104,7 @@
 	ga.placerMu.Lock()
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
+	ga.peers.MarkSeen(update.From)
 	if update.Aggregate {
 		return
 	}
@@ -112,10 +115,19 @@
 	ga.confirmServers(now.Add(-update.ListAge.Std()), update.Digest)
 }
 
+// assumedReaderOrder is the position in the reader order that a host assumes while it
+// doesn't know the other hosts yet.
+const assumedReaderOrder = 4
+
 // readerOrder returns the number of live hosts of the data centre that read the store
-// before this one does.
+// before this one does. A host that has just started and isn't a seed assumes that there
+// are some: when all hosts restart, each of them knows no other for a while.
 func (ga *Gateway) readerOrder() int {
 	ga.placerMu.Lock()
-	defer ga.placerMu.Unlock()
-	return ga.loadTable.ReaderOrder(ga.clock.Now())
+	order := ga.loadTable.ReaderOrder(ga.clock.Now())
+	ga.placerMu.Unlock()
+	if ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod {
+		return max(order, assumedReaderOrder)
+	}
+	return order
 }
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// updateInterval is the mean interval between two rounds of load updates.
-	updateInterval = 100 * time.Millisecond
+	// minUpdateInterval is the shortest mean interval between two rounds of load
+	// updates.
+	minUpdateInterval = 100 * time.Millisecond
+	// updateIntervalPerPeer bounds the updates that a host sends and receives to 200
+	// a second, however many hosts the data centre has.
+	updateIntervalPerPeer = 5 * time.Millisecond
 	// idleUpdateRounds is the number of rounds between two updates of a host
 	// without loads.
 	idleUpdateRounds = 3
@@ -28,11 +32,18 @@
 	maxDatagramBytes = 16 << 10
 )
 
+// UpdateInterval returns the mean interval between two rounds of load updates in a data
+// centre in which this host has a number of peers.
+func UpdateInterval(peers int) time.Duration {
+	return max(minUpdateInterval, time.Duration(peers)*updateIntervalPerPeer)
+}
+
 // LoadDelegate supplies the loads that a LoadBroadcaster sends and takes those
 // that it receives.
 type LoadDelegate interface {
-	// LocalLoads returns the loads of this host and a digest of its state.
-	LocalLoads() (map[mp.ServerID]Load, Digest)
+	// LocalLoads returns the loads of this host and a digest of its state. It is told
+	// the number of other hosts of the data centre that get them.
+	LocalLoads(peers int) (map[mp.ServerID]Load, Digest)
 	// DataCentreLoads returns the loads of all hosts of the data centre; false if
 	// another host sends them to the other data centres.
 	DataCentreLoads() (map[mp.ServerID]Load, bool)
@@ -185,21 +196,23 @@
 // run sends updates at a jittered interval until it is stopped.
 func (lb *LoadBroadcaster) run(stop <-chan struct{}) {
 	for round := 0; ; round++ {
+		peers := lb.recipients.LocalPeers()
+		interval := UpdateInterval(len(peers))
 		select {
 		case <-stop:
 			return
-		case <-lb.clock.After(updateInterval*3/4 + time.Duration(rand.Int64N(int64(updateInterval/2)))):
+		case <-lb.clock.After(interval*3/4 + time.Duration(rand.Int64N(int64(interval/2)))):
 		}
-		lb.send(round)
+		lb.send(round, peers)
 	}
 }
 
-func (lb *LoadBroadcaster) send(round int) {
-	loads, digest := lb.delegate.LocalLoads()
+func (lb *LoadBroadcaster) send(round int, peers []Address) {
+	loads, digest := lb.delegate.LocalLoads(len(peers))
 	lb.sequence++
 	update := LoadUpdate{From: lb.self, Host: lb.host, Sequence: lb.sequence, Digest: digest, Loads: loads}
 	if len(loads) > 0 || round%idleUpdateRounds == 0 {
-		lb.write(update, lb.recipients.LocalPeers())
+		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
 		return
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -41,10 +41,14 @@
 }
 
 const (
-	// updateLifetime is how long the loads of an update count without a newer one.
-	updateLifetime = 800 * time.Millisecond
-	// livenessTimeout is how long after its last update a host counts as live.
-	livenessTimeout = 1500 * time.Millisecond
+	// minUpdateLifetime is how long the loads of an update count at least without a
+	// newer one, and lifetimeIntervals the same in update intervals.
+	minUpdateLifetime = 800 * time.Millisecond
+	lifetimeIntervals = 4
+	// minLivenessTimeout and livenessIntervals bound in the same way how long after its
+	// last update a host counts as live.
+	minLivenessTimeout = 1500 * time.Millisecond
+	livenessIntervals  = 8
 )
 
 // LoadTable holds the latest load update of each other host of the data centre,
@@ -55,6 +59,18 @@
 	hosts       map[mp.HostID]receivedUpdate
 	dataCentres map[mp.DataCentreID]receivedUpdate
 	total       map[mp.ServerID]Load
+	interval    time.Duration // between two updates of a host
+}
+
+// SetUpdateInterval sets the mean interval between two updates of a host.
+func (lt *LoadTable) SetUpdateInterval(interval time.Duration) { lt.interval = interval }
+
+func (lt *LoadTable) updateLifetime() time.Duration {
+	return max(minUpdateLifetime, lifetimeIntervals*lt.interval)
+}
+
+func (lt *LoadTable) livenessTimeout() time.Duration {
+	return max(minLivenessTimeout, livenessIntervals*lt.interval)
 }
 
 // receivedUpdate is a load update with the time of its arrival.
@@ -87,7 +103,7 @@
 	known := group[key]
 	// After the lifetime, a lower number means that the sender has restarted or, for an
 	// aggregate, that another host sends it.
-	if update.Sequence <= known.update.Sequence && now.Sub(known.receivedAt) < updateLifetime {
+	if update.Sequence <= known.update.Sequence && now.Sub(known.receivedAt) < lt.updateLifetime() {
 		return
 	}
 	lt.subtract(known.update)
@@ -118,12 +134,12 @@
 
 func expireUpdates[K comparable](lt *LoadTable, group map[K]receivedUpdate, now time.Time) {
 	for key, received := range group {
-		if now.Sub(received.receivedAt) >= updateLifetime && received.update.Loads != nil {
+		if now.Sub(received.receivedAt) >= lt.updateLifetime() && received.update.Loads != nil {
 			lt.subtract(received.update)
 			received.update.Loads = nil
 			group[key] = received
 		}
-		if now.Sub(received.receivedAt) >= livenessTimeout {
+		if now.Sub(received.receivedAt) >= lt.livenessTimeout() {
 			delete(group, key)
 		}
 	}
@@ -139,7 +155,7 @@
 func (lt *LoadTable) ReaderOrder(now time.Time) int {
 	order := 0
 	for host, received := range lt.hosts {
-		if host < lt.host && now.Sub(received.receivedAt) < livenessTimeout {
+		if host < lt.host && now.Sub(received.receivedAt) < lt.livenessTimeout() {
 			order++
 		}
 	}
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -30,7 +30,7 @@
 func (rd *recordingDelegate) FastGossip() bool                 { return false }
 func (rd *recordingDelegate) LocalPeers() []peer.Address       { return nil }
 func (rd *recordingDelegate) RemoteContacts() []peer.Address   { return nil }
-func (rd *recordingDelegate) LocalLoads() (map[mp.ServerID]peer.Load, peer.Digest) {
+func (rd *recordingDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
 	return nil, peer.Digest{}
 }
 func (rd *recordingDelegate) DataCentreLoads() (map[mp.ServerID]peer.Load, bool) { return nil, false }
--- a/peer/members.go
+++ b/peer/members.go
@@ -14,6 +14,9 @@
 	memberLifetime = 30 * time.Second
 	// maxSampleSize is the maximum number of members in one message.
 	maxSampleSize = 12
+	// maxLocalSampleSize is the maximum number of them that are of the receiver's data
+	// centre.
+	maxLocalSampleSize = 9
 )
 
 // MemberList is a host's view of the other hosts of the deployment. A member is
@@ -112,18 +115,31 @@
 	return groups
 }
 
-// Sample returns a random sample of the members.
-func (ml *MemberList) Sample(now time.Time) []Member {
+// Sample returns a random sample of the members. Most of them are of the given data
+// centre, as far as there are any: hosts send load updates to those of their own.
+func (ml *MemberList) Sample(now time.Time, dataCentre mp.DataCentreID) []Member {
 	ml.expire(now)
-	sample := make([]Member, 0, len(ml.members))
+	var local, others []Member
 	for ad, entry := range ml.members {
-		sample = append(sample, Member{Address: ad, DataCentre: entry.dataCentre})
+		member := Member{Address: ad, DataCentre: entry.dataCentre}
+		if entry.dataCentre == dataCentre {
+			local = append(local, member)
+		} else {
+			others = append(others, member)
+		}
 	}
-	slices.SortFunc(sample, func(a, b Member) int { return strings.Compare(string(a.Address), string(b.Address)) })
-	ml.random.Shuffle(len(sample), func(a, b int) { sample[a], sample[b] = sample[b], sample[a] })
+	ml.shuffle(local)
+	ml.shuffle(others)
+	sample := append(local[:min(len(local), maxLocalSampleSize)], others...)
 	return sample[:min(len(sample), maxSampleSize)]
 }
 
+// shuffle orders members at random, with the same result for the same random source.
+func (ml *MemberList) shuffle(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(string(a.Address), string(b.Address)) })
+	ml.random.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+}
+
 // Count returns the number of members, without seeds that were never seen.
 func (ml *MemberList) Count(now time.Time) int {
 	ml.expire(now)
--- a/peer/node.go
+++ b/peer/node.go
@@ -127,6 +127,13 @@
 	return no.members.RemoteContacts(no.clock.Now())
 }
 
+// MarkSeen records that a host was heard of, other than by an exchange.
+func (no *Node) MarkSeen(member Member) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.members.MarkSeen(no.clock.Now(), member)
+}
+
 // TriggerExchange requests an exchange with a host ahead of the interval. It does
 // not block, and drops the request if another one is pending.
 func (no *Node) TriggerExchange(remote Address) {
@@ -222,7 +229,11 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	local.From = no.self
-	local.Members = no.members.Sample(no.clock.Now())
+	dataCentre := remote.From.DataCentre
+	if dataCentre == "" { // the receiver of a first message is unknown
+		dataCentre = no.self.DataCentre
+	}
+	local.Members = no.members.Sample(no.clock.Now(), dataCentre)
 	return local
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -64,3 +65,67 @@
 	require.Equal(t, 1, ml.Count(start.Add(20*time.Second)), "reported members expire sooner")
 	require.Zero(t, ml.Count(start.Add(time.Minute)))
 }
+
+// TestHostsOfADataCentreStayKnown plays gossip between 200 hosts of six data centres for
+// a minute. A load update shows that its sender is alive, so that the hosts of a data
+// centre, which send each other load updates, soon all know each other and go on doing so.
+func TestHostsOfADataCentreStayKnown(t *testing.T) {
+	const hosts, dataCentres = 200, 6
+	random := rand.New(rand.NewPCG(7, 7))
+	members := make([]peer.Member, hosts)
+	lists := make([]*peer.MemberList, hosts)
+	byAddress := map[peer.Address]int{}
+	for ix := range hosts {
+		members[ix] = peer.Member{Address: peer.Address(fmt.Sprintf("10.0.0.%d:1", ix)), DataCentre: mp.DataCentreID(fmt.Sprint("dc-", ix%dataCentres))}
+		byAddress[members[ix].Address] = ix
+	}
+	seeds := []peer.Address{members[0].Address, members[1].Address, members[2].Address}
+	for ix := range hosts {
+		lists[ix] = peer.NewMemberList(members[ix], seeds, random)
+	}
+	for second := range 60 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for ix := range hosts {
+			exchanges := 0
+			switch {
+			case second < 5: // gossip is faster in the first seconds
+				exchanges = 2
+			case (second+ix)%3 == 0:
+				exchanges = 1
+			}
+			for range exchanges {
+				other := byAddress[lists[ix].RandomPeer(now)]
+				lists[other].MarkSeen(now, members[ix])
+				lists[other].AddReported(now, lists[ix].Sample(now, members[ix].DataCentre))
+				lists[ix].MarkSeen(now, members[other])
+				lists[ix].AddReported(now, lists[other].Sample(now, members[ix].DataCentre))
+			}
+			for _, local := range lists[ix].LocalPeers(now) { // load updates
+				lists[byAddress[local]].MarkSeen(now, members[ix])
+			}
+		}
+		if second < 10 {
+			continue
+		}
+		for ix := range hosts {
+			require.GreaterOrEqual(t, len(lists[ix].LocalPeers(now)), hosts/dataCentres-2, "host %d after %d s", ix, second)
+		}
+	}
+}
+
+// TestUpdatesOfAHostAreBounded checks that a host's load updates don't grow with the
+// square of the hosts, and that a host which is heard of at that interval stays live.
+func TestUpdatesOfAHostAreBounded(t *testing.T) {
+	for _, peers := range []int{1, 8, 35, 50, 200, 1000} {
+		interval := peer.UpdateInterval(peers)
+		require.LessOrEqual(t, float64(peers)/interval.Seconds(), 200.0)
+		lt := peer.NewLoadTable("h2")
+		lt.SetUpdateInterval(interval)
+		lt.Add(start, loadUpdate("h1", 1, 100))
+		lt.Expire(start.Add(3 * interval))
+		require.Equal(t, mp.Tokens(100), lt.Total("e").PrefillTokens, "two lost updates, %d peers", peers)
+		require.Equal(t, 1, lt.ReaderOrder(start.Add(3*interval)))
+		lt.Expire(start.Add(time.Second + 10*interval))
+		require.Zero(t, lt.ReaderOrder(start.Add(time.Second+10*interval)))
+	}
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -9,7 +9,6 @@
 // is not safe for concurrent use.
 type WindowBudget struct {
 	ratio      float64
-	slack      float64
 	bucketSpan time.Duration
 	requests   [windowBuckets]int
 	retries    [windowBuckets]int
@@ -17,9 +16,9 @@
 }
 
 // NewWindowBudget returns a budget over a window of the given span. The retries in
-// the window stay within ratio times its requests, plus slack.
-func NewWindowBudget(span time.Duration, ratio, slack float64) *WindowBudget {
-	return &WindowBudget{ratio: ratio, slack: slack, bucketSpan: max(1, span/windowBuckets)}
+// the window stay within ratio times its requests, plus the slack at each retry.
+func NewWindowBudget(span time.Duration, ratio float64) *WindowBudget {
+	return &WindowBudget{ratio: ratio, bucketSpan: max(1, span/windowBuckets)}
 }
 
 // Deposit records a request and credits the budget for it.
@@ -27,16 +26,16 @@
 	wi.requests[wi.advance(now)]++
 }
 
-// Withdraw takes one retry from the budget. It returns false if the budget is
-// exhausted.
-func (wi *WindowBudget) Withdraw(now time.Time) bool {
+// Withdraw takes one retry from the budget, with the given slack beyond the ratio. It
+// returns false if the budget is exhausted.
+func (wi *WindowBudget) Withdraw(now time.Time, slack float64) bool {
 	ix := wi.advance(now)
 	requests, retries := 0, 0
 	for bucket := range windowBuckets {
 		requests += wi.requests[bucket]
 		retries += wi.retries[bucket]
 	}
-	if float64(retries+1) > wi.ratio*float64(requests)+wi.slack {
+	if float64(retries+1) > wi.ratio*float64(requests)+slack {
 		return false
 	}
 	wi.retries[ix]++
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -21,7 +21,7 @@
 		slack = 2.0
 	)
 	rapid.Check(t, func(rt *rapid.T) {
-		wi := retry.NewWindowBudget(span, ratio, slack)
+		wi := retry.NewWindowBudget(span, ratio)
 		now := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
 		var requests, retries []time.Time
 		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
@@ -29,7 +29,7 @@
 			if rapid.Bool().Draw(rt, "request") {
 				wi.Deposit(now)
 				requests = append(requests, now)
-			} else if wi.Withdraw(now) {
+			} else if wi.Withdraw(now, slack) {
 				retries = append(retries, now)
 			}
 		}
@@ -55,13 +55,13 @@
 }
 
 func TestRequestsBeforeWindowAllowNoRetries(t *testing.T) {
-	wi := retry.NewWindowBudget(10*time.Second, 0.5, 0)
+	wi := retry.NewWindowBudget(10*time.Second, 0.5)
 	now := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
 	for range 4 {
 		wi.Deposit(now)
 	}
-	require.True(t, wi.Withdraw(now))
-	require.True(t, wi.Withdraw(now))
-	require.False(t, wi.Withdraw(now))
-	require.False(t, wi.Withdraw(now.Add(time.Hour)))
+	require.True(t, wi.Withdraw(now, 0))
+	require.True(t, wi.Withdraw(now, 0))
+	require.False(t, wi.Withdraw(now, 0))
+	require.False(t, wi.Withdraw(now.Add(time.Hour), 0))
 }
