gateway, peer: one reader of the store for all data centres where its bounds allow

Change: the digest of a data centre's aggregate confirms the list or, at the host that relays it, fetches the newer state. First hosts of other data centres come behind in the reader order. A failed watch backs off longer than a list call.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -24,6 +24,10 @@
 	// watchCheckInterval is how often a host without a watch checks whether it
 	// should start one.
 	watchCheckInterval = 300 * time.Millisecond
+	// watchBackoffOrder is by how many positions further behind in the reader order a
+	// failed watch backs off than a list call, which also finds out that the store is
+	// back.
+	watchBackoffOrder = 2
 	// callTimeout is the timeout of a call, on top of the time that the store may
 	// hold it open.
 	callTimeout = time.Second
@@ -201,7 +205,7 @@
 		if err != nil {
 			failures++
 			fo.recordFailure("watch", err)
-			fo.backoff(ctx, failures)
+			fo.backoff(ctx, fo.readerOrder()+watchBackoffOrder, failures)
 			continue
 		}
 		failures = 0
@@ -268,7 +272,7 @@
 		if err != nil {
 			failures++
 			fo.recordFailure("list", err)
-			fo.backoff(ctx, failures)
+			fo.backoff(ctx, fo.readerOrder(), failures)
 		} else {
 			failures = 0
 			fo.recordSuccess("list")
@@ -337,8 +341,8 @@
 
 // backoff waits after a failed call, with jitter so that hosts do not retry in
 // lockstep.
-func (fo *Follower) backoff(ctx context.Context, failures int) {
-	limit := fo.readPlan().MaxBackoff(fo.readerOrder(), failures)
+func (fo *Follower) backoff(ctx context.Context, order, failures int) {
+	limit := fo.readPlan().MaxBackoff(order, failures)
 	fo.sleep(ctx, limit/2+time.Duration(rand.Int64N(int64(limit/2))))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -105,7 +105,7 @@
 		logger:         zerolog.Nop(),
 		view:           follow.NewView(),
 		droppedLines:   func() int64 { return 0 },
-		loadTable:      peer.NewLoadTable(settings.Host),
+		loadTable:      peer.NewLoadTable(settings.Host, settings.DataCentre),
 		retryBudgets:   map[mp.ServiceName]*retry.WindowBudget{},
 		retrySlack:     retry.NewSharedSlack(settings.RetrySlack, len(settings.Regions)),
 		listenerErrors: make(chan error, 4),
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -92,7 +92,7 @@
 func (ga *Gateway) DataCentreLoads() (map[mp.ServerID]peer.Load, bool) {
 	ga.placerMu.Lock()
 	defer ga.placerMu.Unlock()
-	if ga.loadTable.ReaderOrder(ga.clock.Now()) > 0 {
+	if ga.loadTable.HostOrder(ga.clock.Now()) > 0 {
 		return nil, false
 	}
 	return ga.loadTable.DataCentreLoads(ga.outstandingLoads()), true
@@ -105,11 +105,15 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
-	if update.Aggregate {
+	if update.Aggregate && !ga.settings.sharesReads() {
 		return
 	}
 	if update.NewerThan(ga.digest(ga.view.Load())) {
-		ga.peers.TriggerExchange(update.From.Address)
+		// Of an aggregate, only the host that relays it fetches the state: the others of
+		// the data centre get it from there.
+		if !update.Aggregate || update.Relay {
+			ga.peers.TriggerExchange(update.From.Address)
+		}
 		return
 	}
 	ga.confirmServers(now.Add(-update.ListAge.Std()), update.Digest)
@@ -119,12 +123,17 @@
 // doesn't know the other hosts yet.
 const assumedReaderOrder = 4
 
-// readerOrder returns the number of live hosts of the data centre that read the store
-// before this one does. A host that has just started and isn't a seed assumes that there
-// are some: when all hosts restart, each of them knows no other for a while.
+// readerOrder returns the number of live hosts that read the store before this one does:
+// hosts of its data centre and, if reads are shared between data centres, first hosts of
+// others. A host that has just started and isn't a seed assumes that there are some: when
+// all hosts restart, each of them knows no other for a while.
 func (ga *Gateway) readerOrder() int {
+	now := ga.clock.Now()
 	ga.placerMu.Lock()
-	order := ga.loadTable.ReaderOrder(ga.clock.Now())
+	order := ga.loadTable.HostOrder(now)
+	if ga.settings.sharesReads() {
+		order += ga.loadTable.DataCentreOrder(now)
+	}
 	ga.placerMu.Unlock()
 	if ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod {
 		return max(order, assumedReaderOrder)
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -149,8 +149,9 @@
 			continue
 		}
 		if update.Aggregate && update.Relay {
-			update.Relay = false
-			lb.write(update, lb.recipients.LocalPeers())
+			relayed := update
+			relayed.Relay = false
+			lb.write(relayed, lb.recipients.LocalPeers())
 		}
 		lb.delegate.ReceiveLoads(update)
 	}
@@ -217,7 +218,7 @@
 	if round%aggregateRounds != 0 {
 		return
 	}
-	if aggregate, ok := lb.delegate.DataCentreLoads(); ok && len(aggregate) > 0 {
+	if aggregate, ok := lb.delegate.DataCentreLoads(); ok {
 		update.Aggregate, update.Relay, update.Loads = true, true, aggregate
 		lb.write(update, lb.recipients.RemoteContacts())
 	}
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -56,6 +56,7 @@
 // hosts are live. LoadTable does no I/O and is not safe for concurrent use.
 type LoadTable struct {
 	host        mp.HostID
+	dataCentre  mp.DataCentreID
 	hosts       map[mp.HostID]receivedUpdate
 	dataCentres map[mp.DataCentreID]receivedUpdate
 	total       map[mp.ServerID]Load
@@ -79,10 +80,11 @@
 	receivedAt time.Time
 }
 
-// NewLoadTable returns an empty table for a host.
-func NewLoadTable(host mp.HostID) *LoadTable {
+// NewLoadTable returns an empty table for a host of a data centre.
+func NewLoadTable(host mp.HostID, dataCentre mp.DataCentreID) *LoadTable {
 	return &LoadTable{
 		host:        host,
+		dataCentre:  dataCentre,
 		hosts:       map[mp.HostID]receivedUpdate{},
 		dataCentres: map[mp.DataCentreID]receivedUpdate{},
 		total:       map[mp.ServerID]Load{},
@@ -148,11 +150,10 @@
 // Total returns the load of all other hosts at a server.
 func (lt *LoadTable) Total(id mp.ServerID) Load { return lt.total[id] }
 
-// ReaderOrder returns this host's position in the order in which the hosts of the
-// data centre read the store: the number of live hosts whose identifiers sort before
-// its own. The first host, at position zero, reads the store for the others and sends
-// the loads of the data centre to the other data centres.
-func (lt *LoadTable) ReaderOrder(now time.Time) int {
+// HostOrder returns this host's position among the live hosts of its data centre: the
+// number of those whose identifiers sort before its own. The first host sends the loads
+// of the data centre to the other data centres.
+func (lt *LoadTable) HostOrder(now time.Time) int {
 	order := 0
 	for host, received := range lt.hosts {
 		if host < lt.host && now.Sub(received.receivedAt) < lt.livenessTimeout() {
@@ -162,6 +163,18 @@
 	return order
 }
 
+// DataCentreOrder returns the position of this host's data centre among those from which
+// aggregates arrive.
+func (lt *LoadTable) DataCentreOrder(now time.Time) int {
+	order := 0
+	for dc, received := range lt.dataCentres {
+		if dc < lt.dataCentre && now.Sub(received.receivedAt) < lt.livenessTimeout() {
+			order++
+		}
+	}
+	return order
+}
+
 // DataCentreLoads returns the loads of the data centre: the given loads of this host
 // plus the latest of the other hosts there.
 func (lt *LoadTable) DataCentreLoads(own map[mp.ServerID]Load) map[mp.ServerID]Load {
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -112,7 +112,7 @@
 	f.Add(`{"host":"a","sequence":1,"loads":{"e":{"unread":5}}}`, `{"host":"a","sequence":9,"whole":true}`)
 	f.Add(`{"host":"a","whole":true,"from":{"data_centre":"d"},"loads":{"e":{"streams":2}}}`, `{"host":"b","loads":{"e":{"unread":1}}}`)
 	f.Fuzz(func(t *testing.T, one, two string) {
-		lt := peer.NewLoadTable("self")
+		lt := peer.NewLoadTable("self", "dc-1")
 		servers := map[mp.ServerID]bool{}
 		for ix, text := range []string{one, two, one} {
 			var update peer.LoadUpdate
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestLoadTableKeepsLatestUpdateOfEachHost(t *testing.T) {
-	lt := peer.NewLoadTable("h2")
+	lt := peer.NewLoadTable("h2", "dc-1")
 	lt.Add(start, loadUpdate("h1", 1, 100))
 	lt.Add(start, loadUpdate("h3", 1, 10))
 	lt.Add(start, loadUpdate("h1", 3, 50))
@@ -35,17 +35,17 @@
 	lt.Add(start, aggregate)
 	require.Equal(t, mp.Tokens(1060), lt.Total("e").PrefillTokens)
 	require.Equal(t, mp.Tokens(65), lt.DataCentreLoads(map[mp.ServerID]peer.Load{"e": {PrefillTokens: 5}})["e"].PrefillTokens, "loads of other data centres are not included")
-	require.Equal(t, 1, lt.ReaderOrder(start))
+	require.Equal(t, 1, lt.HostOrder(start))
 }
 
 func TestLoadTableExpiresHostsWithoutUpdates(t *testing.T) {
-	lt := peer.NewLoadTable("h2")
+	lt := peer.NewLoadTable("h2", "dc-1")
 	lt.Add(start, loadUpdate("h1", 9, 100))
 	lt.Expire(start.Add(time.Second))
 	require.Zero(t, lt.Total("e"))
-	require.Equal(t, 1, lt.ReaderOrder(start.Add(time.Second)), "the host still counts as live")
+	require.Equal(t, 1, lt.HostOrder(start.Add(time.Second)), "the host still counts as live")
 	lt.Expire(start.Add(2 * time.Second))
-	require.Zero(t, lt.ReaderOrder(start.Add(2*time.Second)))
+	require.Zero(t, lt.HostOrder(start.Add(2*time.Second)))
 	lt.Add(start.Add(3*time.Second), loadUpdate("h1", 1, 5)) // after a restart
 	require.Equal(t, mp.Tokens(5), lt.Total("e").PrefillTokens)
 }
@@ -113,19 +113,31 @@
 	}
 }
 
+// TestDataCentreOrder checks that aggregates order the data centres, and that one from
+// which none arrive any more loses its place.
+func TestDataCentreOrder(t *testing.T) {
+	lt := peer.NewLoadTable("h2", "dc-2")
+	for _, dc := range []mp.DataCentreID{"dc-1", "dc-3"} {
+		aggregate := peer.LoadUpdate{From: peer.Member{DataCentre: dc}, Host: mp.HostID("first of " + dc), Sequence: 1, Aggregate: true}
+		lt.Add(start, aggregate)
+	}
+	require.Equal(t, 1, lt.DataCentreOrder(start))
+	require.Zero(t, lt.DataCentreOrder(start.Add(2*time.Second)))
+}
+
 // TestUpdatesOfAHostAreBounded checks that a host's load updates don't grow with the
 // square of the hosts, and that a host which is heard of at that interval stays live.
 func TestUpdatesOfAHostAreBounded(t *testing.T) {
 	for _, peers := range []int{1, 8, 35, 50, 200, 1000} {
 		interval := peer.UpdateInterval(peers)
 		require.LessOrEqual(t, float64(peers)/interval.Seconds(), 200.0)
-		lt := peer.NewLoadTable("h2")
+		lt := peer.NewLoadTable("h2", "dc-1")
 		lt.SetUpdateInterval(interval)
 		lt.Add(start, loadUpdate("h1", 1, 100))
 		lt.Expire(start.Add(3 * interval))
 		require.Equal(t, mp.Tokens(100), lt.Total("e").PrefillTokens, "two lost updates, %d peers", peers)
-		require.Equal(t, 1, lt.ReaderOrder(start.Add(3*interval)))
+		require.Equal(t, 1, lt.HostOrder(start.Add(3*interval)))
 		lt.Expire(start.Add(time.Second + 10*interval))
-		require.Zero(t, lt.ReaderOrder(start.Add(time.Second+10*interval)))
+		require.Zero(t, lt.HostOrder(start.Add(time.Second+10*interval)))
 	}
 }
