--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -22,6 +22,8 @@
 	RequestsPerSecond   float64
 	TokensPerSecond     float64
 	ConfigChangesPerDay float64
+	// MaxChangeDelay is the time within which a change must take effect.
+	MaxChangeDelay time.Duration
 	// NonIdempotentFraction is the fraction of requests that must not be
 	// retried, from 0 to 1.
 	NonIdempotentFraction float64
@@ -42,6 +44,7 @@
 		RequestsPerSecond:     86_000,
 		TokensPerSecond:       23_000_000,
 		ConfigChangesPerDay:   4500,
+		MaxChangeDelay:        5 * time.Second,
 		NonIdempotentFraction: 0.01,
 		HostsLostPerDay:       87,
 		HostsReplacedPerDay:   670,
@@ -60,6 +63,7 @@
 		RequestsPerSecond:     58,
 		TokensPerSecond:       15_400,
 		ConfigChangesPerDay:   50,
+		MaxChangeDelay:        3 * time.Second,
 		NonIdempotentFraction: 0.1,
 		HostsLostPerDay:       0.1,
 		HostsReplacedPerDay:   1,
--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -4,15 +4,16 @@
 	"math"
 
 	"github.com/mangopaddle/mangopaddle/bench"
+	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/loadwatch"
+	"github.com/mangopaddle/mangopaddle/peer"
 )
 
 const (
-	listIntervalSeconds         = 1.8 // of package follow
-	gossipIntervalSeconds       = 3.0 // this and the next two of package peer
-	loadUpdateIntervalSeconds   = 0.1
-	remoteUpdateIntervalSeconds = 0.2 // between data centres
-	loadReportIntervalSeconds   = 1.0 // of package loadwatch
+	listIntervalSeconds       = 1.8 // of package follow
+	gossipIntervalSeconds     = 3.0 // this and the next one of package peer
+	remoteUpdateRounds        = 2.0 // rounds of load updates between two to other data centres
+	loadReportIntervalSeconds = 1.0 // of package loadwatch
 	// storePageKeys is the maximum number of keys in one response of the store.
 	storePageKeys = 500.0
 	// prefillSeconds is how long a prompt is queued and prefilled, during which
@@ -69,20 +70,28 @@
 	}
 }
 
-// storeReader is the role of the first host of each data centre, which reads
-// the store on behalf of the others.
+// storeReaders returns the number of hosts that read the store on behalf of the others.
+func (es *Estimator) storeReaders() float64 {
+	if follow.SharesReads(es.size.MaxChangeDelay) {
+		return 1
+	}
+	return es.size.DataCentres
+}
+
+// storeReader is the role of the host that reads the store on behalf of the others: one
+// in each data centre, or one for all.
 func (es *Estimator) storeReader() Role {
 	pages := math.Ceil(es.size.Engines / storePageKeys)
 	// The request for a page is nearly empty, so that the mean message of a call is
 	// half of the page.
 	busiest := es.messageCost(2*pages/listIntervalSeconds, es.fitAt(bench.ServerListSize, es.size.Engines)/pages/2)
 	busiest.MemoryBytes = es.fitAt(bench.GossipMessageSize, es.size.Engines)
-	mean := busiest.times(1 / es.hostsPerDC())
+	mean := busiest.times(es.storeReaders() / es.size.Hosts)
 	mean.MemoryBytes = busiest.MemoryBytes
 	return Role{
 		Name:      "list of backend servers",
 		HostKind:  GatewayHost,
-		Mechanism: "the first host of each data centre reads the whole list every 1.8 s and keeps a watch open",
+		Mechanism: "the first host of each data centre, or of all if changes have 4.5 s to take effect, reads the whole list every 1.8 s and keeps a watch open",
 		State:     "the list",
 		Mean:      mean,
 		Busiest:   busiest,
@@ -109,16 +118,21 @@
 	}
 }
 
+// loadUpdateInterval returns the interval between two load updates of a host, in seconds.
+func (es *Estimator) loadUpdateInterval() float64 {
+	return peer.UpdateInterval(int(es.hostsPerDC()) - 1).Seconds()
+}
+
 // loadUpdates is the exchange of load updates with the other hosts of the data centre.
 func (es *Estimator) loadUpdates() Role {
 	loadedEngines := min(es.size.Engines, es.size.RequestsPerSecond/es.size.Hosts*prefillSeconds)
 	size := es.fitAt(bench.LoadUpdateSize, loadedEngines)
-	cost := es.messageCost(2*(es.hostsPerDC()-1)/loadUpdateIntervalSeconds, size)
+	cost := es.messageCost(2*(es.hostsPerDC()-1)/es.loadUpdateInterval(), size)
 	cost.MemoryBytes = es.hostsPerDC() * size
 	return Role{
 		Name:      "load updates within a data centre",
 		HostKind:  GatewayHost,
-		Mechanism: "each host sends its outstanding load at each engine to all other hosts of its data centre, every 0.1 s",
+		Mechanism: "each host sends its outstanding load at each engine to all other hosts of its data centre, every 0.1 s, or every 5 ms for each of them if that is longer",
 		State:     "the newest update of each host",
 		Mean:      cost,
 		Busiest:   cost,
@@ -132,13 +146,14 @@
 	loadedEngines := min(es.size.Engines, es.size.RequestsPerSecond/es.size.DataCentres*prefillSeconds)
 	size := es.fitAt(bench.LoadUpdateSize, loadedEngines)
 	// Each host receives every update; the first one to get it relays it.
-	mean := es.messageCost(2*others/remoteUpdateIntervalSeconds, size)
+	interval := remoteUpdateRounds * es.loadUpdateInterval()
+	mean := es.messageCost(2*others/interval, size)
 	mean.MemoryBytes = others * size
-	busiest := mean.plus(es.messageCost(others/remoteUpdateIntervalSeconds, size))
+	busiest := mean.plus(es.messageCost(others/interval, size))
 	return Role{
 		Name:      "load updates between data centres",
 		HostKind:  GatewayHost,
-		Mechanism: "every 0.2 s the first host of each data centre sends the total load to one host of each other data centre, which relays it to the others there",
+		Mechanism: "every second round of load updates the first host of each data centre sends the total load to one host of each other data centre, which relays it to the others there",
 		State:     "the newest total of each other data centre",
 		Mean:      mean,
 		Busiest:   busiest,
@@ -218,7 +233,7 @@
 func (es *Estimator) StoreCalls() StoreCalls {
 	pages := math.Ceil(es.size.Engines / storePageKeys)
 	return StoreCalls{
-		SteadyPerSecond: es.size.DataCentres * (1 + pages/listIntervalSeconds),
+		SteadyPerSecond: es.storeReaders() * (1 + pages/listIntervalSeconds),
 		FullRestart:     es.size.Hosts * (pages + 1),
 	}
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -37,6 +37,9 @@
 	// minListDelay is the minimum wait before the age of the list is checked again,
 	// so that the check does not spin when the next list call is almost due.
 	minListDelay = 20 * time.Millisecond
+	// minListSpacing is the fraction of the list interval, as its divisor, that passes
+	// at least between two list calls.
+	minListSpacing = 4
 	// defaultListInterval is the default interval between two list calls.
 	defaultListInterval = 1800 * time.Millisecond
 )
@@ -284,8 +287,12 @@
 // waitForList waits until the next list call is due or requested, after a number of
 // consecutive failed ones.
 func (fo *Follower) waitForList(ctx context.Context, failures int) {
+	// A list of an older revision, which a lagging replica of the store may return, does
+	// not make this host's list any younger.
+	calledAt := fo.clock.Now()
 	for {
 		wait := fo.readPlan().UntilList(fo.readerOrder(), failures, fo.clock.Since(fo.view.Load().ListConfirmedAt))
+		wait = max(wait, fo.listInterval/minListSpacing-fo.clock.Since(calledAt))
 		if wait <= 0 {
 			return
 		}
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -168,6 +168,27 @@
 	requireEventually(t, func() bool { return store.listCalls("servers/") == 2 })
 }
 
+// TestLaggingReplicaIsNotAskedWithoutDelay guards against list calls without a pause while
+// the store's replica returns a list that is older than the host's.
+func TestLaggingReplicaIsNotAskedWithoutDelay(t *testing.T) {
+	store, view, clock := newStubStore(), follow.NewView(), clockwork.NewFakeClock()
+	store.put("servers/a", entry)
+	store.put("op/config", configuration)
+	fo, stop := follow.New(store, view, follow.WithListInterval(time.Second), follow.WithClock(clock), follow.WithReaderOrder(func() int { return 1 }))
+	defer stop()
+	<-view.Ready()
+	known := view.Load()
+	fo.MergeServers(clock.Now().Add(time.Millisecond), known.ListRevision+9, known.Servers)
+	const sleepers = 3 // the update, list and watch goroutines
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	for range 40 { // ten seconds
+		require.NoError(t, clock.BlockUntilContext(ctx, sleepers), "a goroutine runs without a pause")
+		clock.Advance(250 * time.Millisecond)
+	}
+	require.LessOrEqual(t, store.listCalls("servers/"), 41)
+}
+
 func TestOlderStateFromPeersIsIgnored(t *testing.T) {
 	store, view := newStubStore(), follow.NewView()
 	store.put("servers/a", entry)
--- a/follow/readplan.go
+++ b/follow/readplan.go
@@ -21,6 +21,15 @@
 	maxBackoffDoublings = 8
 )
 
+// minSharedReadDelay is the shortest delay limit with which one host reads the store for
+// all data centres. What it reads takes up to a second to reach the others, which must
+// leave time for two more hosts to take over from it.
+const minSharedReadDelay = 4500 * time.Millisecond
+
+// SharesReads reports whether one host reads the store for all data centres, and not one
+// for each. maxDelay is the time within which a change must take effect.
+func SharesReads(maxDelay time.Duration) bool { return maxDelay >= minSharedReadDelay }
+
 // ReadPlan decides when a host reads the store, by its position in the reader order of
 // its data centre. It answers for any number of hosts: those that are fed by others ask
 // rarely, and when the store fails, the calls of all hosts together grow slowly with
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -105,7 +105,7 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
-	if update.Aggregate && !ga.settings.sharesReads() {
+	if update.Aggregate && !follow.SharesReads(ga.settings.maxDelay()) {
 		return
 	}
 	if update.NewerThan(ga.digest(ga.view.Load())) {
@@ -131,7 +131,7 @@
 	now := ga.clock.Now()
 	ga.placerMu.Lock()
 	order := ga.loadTable.HostOrder(now)
-	if ga.settings.sharesReads() {
+	if follow.SharesReads(ga.settings.maxDelay()) {
 		order += ga.loadTable.DataCentreOrder(now)
 	}
 	ga.placerMu.Unlock()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -108,15 +108,6 @@
 	return time.Duration(listIntervalFraction * float64(se.maxDelay()))
 }
 
-// minSharedReadDelay is the shortest delay limit with which one host reads the store for
-// all data centres. What it reads takes up to a second to reach the others, which must
-// leave time for two more hosts to take over from it.
-const minSharedReadDelay = 4500 * time.Millisecond
-
-// sharesReads reports whether one host reads the store for all data centres, and not one
-// for each.
-func (se Settings) sharesReads() bool { return se.maxDelay() >= minSharedReadDelay }
-
 // maxDelay returns the shorter of the two delay limits.
 func (se Settings) maxDelay() time.Duration {
 	return min(se.MaxConfigDelay, se.MaxDrainDelay).Std()
