gateway, placement: comments are no first event; waits as durations

Cause: comments before the first event counted as the first event of a stream, so that an engine which sends nothing else held the request until the caller's deadline.

Change: of a stream without an identifier so far only events with data are relayed and count. The wait that leaves room for an urgent request is a duration, not a number of nanoseconds.

Test: TestCommentsAreNoFirstEvent, which fails before.

--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -194,6 +194,33 @@
 	}
 }
 
+// TestCommentsAreNoFirstEvent plays an engine that sends comments without end and no
+// event. The request must go to another engine.
+func TestCommentsAreNoFirstEvent(t *testing.T) {
+	var calls atomic.Int64
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.BeginStream(rq)
+		if calls.Add(1) == 1 {
+			for {
+				time.Sleep(20 * time.Millisecond)
+				if _, err := io.WriteString(co, "9\r\n: still\n\n\r\n"); err != nil {
+					return false
+				}
+			}
+		}
+		co.WriteEvent(1)
+		co.EndStream()
+		return true
+	}
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+	fx.configure(func(content map[string]any) {
+		content["routes"].([]any)[2].(map[string]any)["target_latency_ms"] = 100
+	})
+	got := fx.post(resumablePath, "r-1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 1\ndata: piece 1\n\n", got.body)
+}
+
 // TestSlowStreamIsNotCut plays a stream whose events are slower than the target, and
 // split over many writes.
 func TestSlowStreamIsNotCut(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,12 +70,12 @@
 		count, err := ex.Response.Body.Read(chunk)
 		pending = append(pending, chunk[:count]...)
 		if bytes.Contains(pending, eventSeparator) {
-			recordFirstEvent()
 			relayed, cause := ga.relayEvents(re, ex, pending)
 			if cause != nil {
 				return ga.streamFailure(re, ch, cause)
 			}
 			if relayed > 0 {
+				recordFirstEvent()
 				pending = append(pending[:0], pending[relayed:]...)
 				re.setStreamIdleDeadline(ex)
 			}
@@ -148,7 +148,8 @@
 // acceptEvents records the complete events at the beginning of data and returns those
 // that can be relayed: up to the last one with an ID. Events without an ID that follow it
 // are left for later, because only the next ID or the regular end of the stream shows
-// that they are part of it. A stream without any ID so far is relayed as it is.
+// that they are part of it. Of a stream without any ID so far, events with data are
+// relayed, and no mere comments, which a server may go on sending.
 // acceptEvents returns an error at the first event that is out of order.
 func (st *streamState) acceptEvents(data []byte) ([]byte, error) {
 	relayable, end := 0, 0
@@ -163,7 +164,7 @@
 			return data[:relayable], errors.Trace(err)
 		}
 		end += len(event)
-		if identified || st.events == 0 {
+		if identified || (st.events == 0 && hasData(event)) {
 			relayable = end
 		}
 	}
@@ -180,6 +181,11 @@
 	re.rw.WriteHeader(re.status)
 }
 
+// hasData reports whether an event has a line of data.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // acceptEvent records one event and reports whether it has an ID. IDs must increase by
 // one.
 func (st *streamState) acceptEvent(event []byte) (bool, error) {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -96,8 +96,8 @@
 // loadLevel returns where the mean queue wait of the service's engines is between
 // low load (0) and high load (1), for requests whose shortest target is the given one.
 func loadLevel(meanQueueWait, shortestTarget time.Duration) float64 {
-	low := min(lowLoadWait, time.Duration(lowLoadRatio*float64(shortestTarget)))
-	high := min(highLoadWait, time.Duration(highLoadRatio*float64(shortestTarget)))
+	low := min(lowLoadWait, scale(shortestTarget, lowLoadRatio))
+	high := min(highLoadWait, scale(shortestTarget, highLoadRatio))
 	if meanQueueWait >= high {
 		return 1
 	}
@@ -108,21 +108,26 @@
 // wait of the service's engines and the time in which its own prompt is prefilled.
 func (rq *Request) maxQueueWait(meanQueueWait, prefill time.Duration) time.Duration {
 	ix := min(max(0, rq.Priority), len(highLoadWaitRatios)-1)
-	lowLoad := lowLoadWaitRatios[ix] * float64(rq.LatencyTarget)
-	highLoad := highLoadWaitRatios[ix] * float64(rq.LatencyTarget)
+	atLowLoad := scale(rq.LatencyTarget, lowLoadWaitRatios[ix])
+	atHighLoad := scale(rq.LatencyTarget, highLoadWaitRatios[ix])
 	if rq.UrgentLatencyTarget > 0 {
-		highLoad = min(highLoad, rq.maxWaitBeforeUrgent(prefill))
+		atHighLoad = min(atHighLoad, rq.maxWaitBeforeUrgent(prefill))
 	}
-	return time.Duration(lowLoad + loadLevel(meanQueueWait, rq.shortestTarget())*(highLoad-lowLoad))
+	return atLowLoad + scale(atHighLoad-atLowLoad, loadLevel(meanQueueWait, rq.shortestTarget()))
 }
 
-// maxWaitBeforeUrgent returns the maximum queue wait, in nanoseconds, with which a more
-// urgent request that arrives next in the same queue is still in time behind this one
-// and its prompt. Without that bound, requests with a generous target or a long prompt
-// would fill the queues up to a length at which more urgent ones are late or refused.
-func (rq *Request) maxWaitBeforeUrgent(prefill time.Duration) float64 {
-	bound := urgentWaitRatio*float64(rq.UrgentLatencyTarget) - float64(prefill)
-	return max(bound, lowLoadRatio*float64(rq.UrgentLatencyTarget))
+// maxWaitBeforeUrgent returns the maximum queue wait with which a more urgent request
+// that arrives next in the same queue is still in time behind this one and its prompt.
+// Without that bound, requests with a generous target or a long prompt would fill the
+// queues up to a length at which more urgent ones are late or refused.
+func (rq *Request) maxWaitBeforeUrgent(prefill time.Duration) time.Duration {
+	bound := scale(rq.UrgentLatencyTarget, urgentWaitRatio) - prefill
+	return max(bound, scale(rq.UrgentLatencyTarget, lowLoadRatio))
+}
+
+// scale returns a duration multiplied by a factor.
+func scale(duration time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(duration))
 }
 
 // shortestTarget returns the shortest latency target of the request itself and the more
