--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,12 +71,21 @@
 		refusal.RetryAfter = re.retryAfter(now, late)
 		return ch, refusal
 	}
-	re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
+	ga.logPlacement(re, ch, now, placementRequest.Priority)
+	return ch, nil
+}
+
+// logPlacement logs the choice of a backend server with what it was based on.
+func (ga *Gateway) logPlacement(re *request, ch placement.Choice, now time.Time, priority int) {
+	line := re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
 		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.PrefixCached).
-		Int("priority", placementRequest.Priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.PrefillTokens)).Dur("expected_ms", ch.ExpectedLatency).
+		Int("priority", priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.PrefillTokens)).Dur("expected_ms", ch.ExpectedLatency).
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", now.Sub(ga.view.Load().ListConfirmedAt)).
-		Dur("left_ms", re.remaining(now)).Msg("backend server selected")
-	return ch, nil
+		Dur("left_ms", re.remaining(now))
+	if re.headers.LastEventID != "" {
+		line = line.Str("resume_after", re.headers.LastEventID) // the caller goes on with a stream that broke off
+	}
+	line.Msg("backend server selected")
 }
 
 // minOverloadRetryAfter is the minimum Retry-After of an overload response.
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -89,3 +90,21 @@
 	require.NoError(t, got.err)
 	require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", got.body)
 }
+
+// TestCallerGoesOnWithItsStream plays a caller that goes on with a stream at another host,
+// after the last event that it has: the engine is told, and the log shows it.
+func TestCallerGoesOnWithItsStream(t *testing.T) {
+	engine := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.BeginStream(rq)
+		co.WriteEvent(rq.LastEventID() + 1)
+		co.EndStream()
+		return true
+	})
+	fx := newFixture(t, nil, []*fakeserver.Server{engine})
+	got := fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: 5")
+	require.NoError(t, got.err)
+	require.Equal(t, "id: 6\ndata: piece 6\n\n", got.body)
+	require.Equal(t, "5", fx.logs.RequestEvents("r-1")["placed"]["resume_after"])
+	require.Equal(t, http.StatusOK, fx.post(resumablePath, "r-2", "prompt").status)
+	require.NotContains(t, fx.logs.RequestEvents("r-2")["placed"], "resume_after")
+}
