follow: one reader for all data centres only with limits of 8 s and more

The list may be two intervals old when another host takes over from a reader that the store turns away, 3.7 s of the 5, and then needs two exchanges to reach the hosts of another data centre; a second was allowed for that.

Change: reads are shared between data centres from a limit of 8 s on, which none of the known deployments has; on them the first host of each data centre reads again.

--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -91,7 +91,7 @@
 	return Role{
 		Name:      "list of backend servers",
 		HostKind:  GatewayHost,
-		Mechanism: "the first host of each data centre, or of all if changes have 4.5 s to take effect, reads the whole list every 1.8 s and keeps a watch open",
+		Mechanism: "the first host of each data centre, or of all if changes have 8 s to take effect, reads the whole list every 1.8 s and keeps a watch open",
 		State:     "the list",
 		Mean:      mean,
 		Busiest:   busiest,
--- a/follow/readplan.go
+++ b/follow/readplan.go
@@ -22,9 +22,10 @@
 )
 
 // minSharedReadDelay is the shortest delay limit with which one host reads the store for
-// all data centres. What it reads takes up to a second to reach the others, which must
-// leave time for two more hosts to take over from it.
-const minSharedReadDelay = 4500 * time.Millisecond
+// all data centres. A list may be two list intervals old when another host takes over
+// from a failed reader, which is three quarters of the limit, and what it reads takes up
+// to two seconds to reach the hosts of the other data centres.
+const minSharedReadDelay = 8 * time.Second
 
 // SharesReads reports whether one host reads the store for all data centres, and not one
 // for each. maxDelay is the time within which a change must take effect.
