--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -86,6 +86,13 @@
 	fx.eventually(func() bool { return int(fx.gateway.ConfigVersion()) == fx.version })
 }
 
+// setResumableRoute sets a field of the resumable route, in a new configuration.
+func (fx *fixture) setResumableRoute(name string, value any) {
+	fx.configure(func(content map[string]any) {
+		content["routes"].([]any)[2].(map[string]any)[name] = value
+	})
+}
+
 func (fx *fixture) putServer(id, service, address, state string) {
 	fx.store.PutServer(id, service, address, state)
 }
--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
@@ -46,14 +47,14 @@
 		},
 		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
 		"body of another answer": {
-			"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nUpstream-Signature: s\r\n\r\n", "bytes without end ",
+			"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + platform.HeaderSignature + ": s\r\n\r\n", "bytes without end ",
 		},
 		"chunks of another answer": {
-			"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nUpstream-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n",
+			"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n" + platform.HeaderSignature + ": s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n",
 		},
 		"unsigned body": {"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n\r\n", "bytes without end "},
 		"trailer": {
-			"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nUpstream-Signature: s\r\nTransfer-Encoding: chunked\r\nTrailer: X-Filler\r\n\r\n0\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+			"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n" + platform.HeaderSignature + ": s\r\nTransfer-Encoding: chunked\r\nTrailer: X-Filler\r\n\r\n0\r\n", "X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
 		},
 	}
 	for name, fault := range heads {
@@ -85,7 +86,7 @@
 	done := make(chan struct{})
 	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 		defer close(done)
-		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\n\r\n", rq.ID)
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n"+platform.HeaderSignature+": s\r\n\r\n", rq.ID)
 		written.Store(int64(writeUntilClosed(co, "bytes without end ", sent)))
 		return false
 	})
@@ -101,7 +102,7 @@
 // the next request.
 func TestRejectionWithLongBodyLeavesNoBytesBehind(t *testing.T) {
 	const discarded = 256 << 10
-	forged := "HTTP/1.1 200 OK\r\nRequest-Id: r-2\r\nUpstream-Signature: s\r\nContent-Length: 6\r\n\r\nforged"
+	forged := "HTTP/1.1 200 OK\r\nRequest-Id: r-2\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 6\r\n\r\nforged"
 	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 		if rq.ID == "r-1" {
 			co.Printf("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r-1\r\nNot-Executed: 1\r\nContent-Length: %d\r\n\r\n%s",
@@ -142,7 +143,7 @@
 }
 
 // streamBegin is the header of a stream that ends with its connection.
-const streamBegin = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+const streamBegin = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n" + platform.HeaderSignature + ": s\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // TestStalledStreamIsResumed plays engines that stop after the first event, but go on
 // sending bytes. The stream must go on at another engine.
@@ -183,9 +184,7 @@
 				return true
 			}
 			fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
-			fx.configure(func(content map[string]any) {
-				content["routes"].([]any)[2].(map[string]any)["gap_aim_ms"] = 50
-			})
+			fx.setResumableRoute("gap_aim_ms", 50)
 			got := fx.post(resumablePath, "r-1", "prompt")
 			require.NoError(t, got.err)
 			require.Contains(t, got.body, "id: 1\n")
@@ -213,9 +212,7 @@
 		return true
 	}
 	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
-	fx.configure(func(content map[string]any) {
-		content["routes"].([]any)[2].(map[string]any)["target_latency_ms"] = 100
-	})
+	fx.setResumableRoute("target_latency_ms", 100)
 	got := fx.post(resumablePath, "r-1", "prompt")
 	require.NoError(t, got.err)
 	require.Equal(t, "id: 1\ndata: piece 1\n\n", got.body)
@@ -236,9 +233,7 @@
 		return true
 	})
 	fx := newFixture(t, nil, []*fakeserver.Server{engine, startServer(t, respondWith("unused"))})
-	fx.configure(func(content map[string]any) {
-		content["routes"].([]any)[2].(map[string]any)["gap_aim_ms"] = 50
-	})
+	fx.setResumableRoute("gap_aim_ms", 50)
 	for { // until the engine that streams was chosen
 		got := fx.post(resumablePath, "r-1", "prompt")
 		if got.body == "unused" {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -83,9 +83,7 @@
 		return true
 	}
 	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
-	fx.configure(func(content map[string]any) {
-		content["routes"].([]any)[2].(map[string]any)["gap_aim_ms"] = 50
-	})
+	fx.setResumableRoute("gap_aim_ms", 50)
 	got := fx.post(resumablePath, "r-1", "prompt")
 	require.NoError(t, got.err)
 	require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", got.body)
