gateway: settings aren't copied while they are reloaded

A method with a value receiver copied the settings at each load update, while a reload wrote the seeds.

Change: whether reads are shared is worked out once, at the start.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 	// hasOtherSeeds reports that the seeds at the start were other hosts, from which
 	// this one learns the state.
 	hasOtherSeeds bool
+	// sharesReads reports that one host reads the store for all data centres.
+	sharesReads bool
 	// maintainedAt is the time of the last maintenance run. Only the maintenance
 	// goroutine uses it.
 	maintainedAt   time.Time
@@ -114,6 +116,7 @@
 		opt(ga)
 	}
 	ga.startedAt = ga.clock.Now()
+	ga.sharesReads = follow.SharesReads(settings.maxDelay())
 	ga.hasOtherSeeds = len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.PeerAddress)
 	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad))
 	if err := ga.start(); err != nil {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -105,7 +105,7 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
-	if update.Aggregate && !follow.SharesReads(ga.settings.maxDelay()) {
+	if update.Aggregate && !ga.sharesReads {
 		return
 	}
 	if update.NewerThan(ga.digest(ga.view.Load())) {
@@ -131,7 +131,7 @@
 	now := ga.clock.Now()
 	ga.placerMu.Lock()
 	order := ga.loadTable.HostOrder(now)
-	if follow.SharesReads(ga.settings.maxDelay()) {
+	if ga.sharesReads {
 		order += ga.loadTable.DataCentreOrder(now)
 	}
 	ga.placerMu.Unlock()
