configwatch: the test of an outage waits for the watch that it relies on

The test made the store fail as soon as the first set was posted; if the watcher had not opened its next watch by then, no watch was in progress and the change could not come. Shown on a scratch copy that waits 50 ms before each watch: the test as it was fails there, as it is now passes.

What it checks is the same.

--- a/configwatch/watcher_test.go
+++ b/configwatch/watcher_test.go
@@ -127,6 +127,7 @@
 	store, bp := startWatcher(t)
 	publish(t, store, map[mp.ConfigKey]string{"fleet": "1"})
 	testkit.Eventually(t, func() bool { text, _ := bp.value("fleet"); return text == "1" }, "the set was not posted")
+	testkit.Eventually(t, func() bool { return store.WaitingWatchCount() > 0 }, "no watch is in progress")
 	store.SetErrorStatus(503)
 	publish(t, store, map[mp.ConfigKey]string{"fleet": "2"}) // ends the watch
 	testkit.Eventually(t, func() bool { text, _ := bp.value("fleet"); return text == "2" }, "a watch in progress did not return the change")
