peer, follow: the log tells how far a failed exchange came, and which host is behind

To tell apart why configurations are late: peer_lost has bytes and duration, store_lost the version in force and the age of the list, configuration_behind the moment at which a host hears of a newer version, once a version.

No logic is changed.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -73,6 +73,8 @@
 
 	mu           sync.Mutex
 	failingSince map[string]time.Time // by store call, "list" or "watch"
+	// newestReported is the newest version that another host was heard to have.
+	newestReported mp.Version
 }
 
 // update is a change of the state. apply reports whether the state changed.
@@ -369,7 +371,8 @@
 		return
 	}
 	fo.failingSince[call] = fo.clock.Now()
-	fo.logger.Warn().Str("event", "store_lost").Str("call", call).Err(err).Msg("store unavailable")
+	fo.logger.Warn().Str("event", "store_lost").Str("call", call).Err(err).Int64("version", int64(fo.view.Load().Version())).
+		Dur("list_age_ms", fo.clock.Since(fo.view.Load().ListConfirmedAt)).Msg("store unavailable")
 }
 
 // recordSuccess marks a store call as working, and logs the end of a series of
@@ -394,6 +397,23 @@
 	return failing && fo.clock.Since(fo.view.Load().ListConfirmedAt) > fo.listInterval
 }
 
+// ReportVersion records that a host has a version of the configuration. If it is newer
+// than all that this host has heard of, it logs that this one is behind.
+func (fo *Follower) ReportVersion(host string, version mp.Version) {
+	inForce := fo.view.Load().Version()
+	if version <= inForce {
+		return
+	}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if version <= fo.newestReported {
+		return
+	}
+	fo.newestReported = version
+	fo.logger.Info().Str("event", "configuration_behind").Str("peer", host).Int64("version", int64(version)).
+		Int64("version_in_force", int64(inForce)).Msg("another host has a newer configuration")
+}
+
 // MergeConfiguration applies a peer's configuration if its version is higher.
 func (fo *Follower) MergeConfiguration(data []byte) {
 	fo.submit(func(st *state) bool { return st.applyConfiguration(data, SourcePeer) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -37,6 +37,7 @@
 
 // MergeState implements peer.Delegate.
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
+	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	snapshot := ga.view.Load()
 	if remote.Configuration != nil && remote.Version > snapshot.Version() {
 		ga.follower.MergeConfiguration(remote.Configuration)
@@ -105,6 +106,7 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
+	ga.follower.ReportVersion(string(update.From.Address), update.Version)
 	if update.Aggregate && !ga.sharesReads {
 		return
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -176,25 +175,11 @@
 	}
 }
 
-// boundedConn is a connection of which at most a number of bytes can be read.
-type boundedConn struct {
-	net.Conn
-	reader io.Reader
-}
-
-// Read implements io.Reader.
-func (bc *boundedConn) Read(data []byte) (int, error) { return bc.reader.Read(data) }
-
-// newObjectStream returns the messages on a connection, up to maxExchangeBytes.
-func newObjectStream(nc net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(&boundedConn{Conn: nc, reader: io.LimitReader(nc, maxExchangeBytes)})
-}
-
 func (no *Node) serve(ctx context.Context, nc net.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, connectionLifetime)
 	defer cancel()
 	handler := jsonrpc2.HandlerWithError(no.handle)
-	conn := jsonrpc2.NewConn(ctx, newObjectStream(nc), handler)
+	conn := jsonrpc2.NewConn(ctx, newMeteredConn(nc).objectStream(), handler)
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -250,7 +235,7 @@
 		}
 		timer := no.clock.After(interval/2 + time.Duration(rand.Int64N(int64(interval))))
 		if remote != "" {
-			no.recordResult(remote, no.exchange(ctx, remote))
+			no.runExchange(ctx, remote)
 		}
 		no.runRequestedExchanges(ctx, timer)
 	}
@@ -265,7 +250,7 @@
 		case <-timer:
 			return
 		case remote := <-no.requested:
-			no.recordResult(remote, no.exchange(ctx, remote))
+			no.runExchange(ctx, remote)
 		}
 	}
 }
@@ -277,18 +262,33 @@
 	}
 }
 
+// runExchange runs an exchange with a host and logs when exchanges with it start to fail
+// and when they recover.
+func (no *Node) runExchange(ctx context.Context, remote Address) {
+	started := no.clock.Now()
+	traffic, err := no.exchange(ctx, remote)
+	no.recordResult(remote, traffic, no.clock.Since(started), err)
+}
+
 // exchange runs a push-pull exchange: it sends a digest, merges the response with
 // the parts that this host lacks, and then sends the parts that the remote host
-// lacks, if any.
-func (no *Node) exchange(ctx context.Context, remote Address) error {
+// lacks, if any. It also returns what it sent and received until then.
+func (no *Node) exchange(ctx context.Context, remote Address) (Traffic, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	nc, err := dialer.DialContext(ctx, "tcp", string(remote))
 	if err != nil {
-		return errors.Trace(err)
+		return Traffic{}, errors.Trace(err)
 	}
-	conn := jsonrpc2.NewConn(ctx, newObjectStream(nc), jsonrpc2.HandlerWithError(no.handle))
+	metered := newMeteredConn(nc)
+	err = no.exchangeOn(ctx, metered)
+	return metered.traffic(), errors.Trace(err)
+}
+
+// exchangeOn runs an exchange on a connection and closes it.
+func (no *Node) exchangeOn(ctx context.Context, metered *meteredConn) error {
+	conn := jsonrpc2.NewConn(ctx, metered.objectStream(), jsonrpc2.HandlerWithError(no.handle))
 	defer func() { _ = conn.Close() }()
 	sentAt := no.clock.Now()
 	response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{Version: maxVersion, ListRevision: maxVersion}}))
@@ -315,14 +315,15 @@
 }
 
 // recordResult logs when exchanges with a host start to fail and when they
-// recover.
-func (no *Node) recordResult(remote Address, err error) {
+// recover, with what the failed one transferred.
+func (no *Node) recordResult(remote Address, traffic Traffic, took time.Duration, err error) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	switch {
 	case err != nil && !no.unreachable[remote]:
 		no.unreachable[remote] = true
-		no.logger.Warn().Str("event", "peer_lost").Str("peer", string(remote)).Err(err).Msg("peer unreachable")
+		no.logger.Warn().Str("event", "peer_lost").Str("peer", string(remote)).
+			Int64("sent_bytes", int64(traffic.Sent)).Int64("received_bytes", int64(traffic.Received)).Dur("took_ms", took).Err(err).Msg("peer unreachable")
 	case err == nil && no.unreachable[remote]:
 		delete(no.unreachable, remote)
 		no.logger.Info().Str("event", "peer_regained").Str("peer", string(remote)).Msg("peer reachable again")
