--- /dev/null
+++ b/follow/configuration_test.go
@@ -0,0 +1,77 @@
+package follow_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/follow"
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/platform/fakestore"
+)
+
+// slowStore serves the pages of a store in chunks with pauses in between.
+type slowStore struct {
+	http.Handler
+	chunkBytes int
+	pause      time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (ss slowStore) ServeHTTP(rw http.ResponseWriter, rq *http.Request) {
+	recorder := httptest.NewRecorder()
+	ss.Handler.ServeHTTP(recorder, rq)
+	rw.WriteHeader(recorder.Code)
+	for chunk := recorder.Body.Next(ss.chunkBytes); len(chunk) > 0; chunk = recorder.Body.Next(ss.chunkBytes) {
+		if _, err := rw.Write(chunk); err != nil {
+			return
+		}
+		_ = http.NewResponseController(rw).Flush()
+		time.Sleep(ss.pause)
+	}
+}
+
+// TestLargeConfigurationIsReadOverSlowLink guards against a time limit on reading the
+// configuration that doesn't depend on its size.
+func TestLargeConfigurationIsReadOverSlowLink(t *testing.T) {
+	store := fakestore.New()
+	store.PutConfiguration(1, func(content map[string]any) {
+		content["organisations_of_another_system"] = strings.Repeat("x", 600_000)
+	})
+	server := httptest.NewServer(slowStore{Handler: store, chunkBytes: 32 << 10, pause: 80 * time.Millisecond})
+	t.Cleanup(server.Close)
+	client, closeClient := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(closeClient)
+	view := follow.NewView()
+	_, stop := follow.New(client, view)
+	t.Cleanup(stop)
+	requireEventually(t, func() bool { return view.Load().Version() == 1 })
+}
+
+// TestHostWithoutNewestConfigurationAsksPeers guards against a host that passes for
+// current, because it can read the list of servers, while it can't read a configuration
+// that has changed.
+func TestHostWithoutNewestConfigurationAsksPeers(t *testing.T) {
+	store, view, clock := newStubStore(), follow.NewView(), clockwork.NewFakeClock()
+	store.put("servers/a", entry)
+	store.put("op/config", configuration)
+	fo, stop := follow.New(store, view, follow.WithListInterval(time.Second), follow.WithClock(clock), follow.WithReaderOrder(func() int { return 1 }))
+	t.Cleanup(stop)
+	<-view.Ready()
+	store.put("op/config", `{"version":5}`)
+	store.failPrefix("op/", errors.New("too slow"))
+	const sleepers = 3 // the update, list and watch goroutines
+	for range 40 {     // ten seconds
+		require.NoError(t, clock.BlockUntilContext(t.Context(), sleepers))
+		clock.Advance(250 * time.Millisecond)
+	}
+	require.Equal(t, mp.Version(4), view.Load().Version())
+	require.True(t, fo.NeedsPeers())
+}
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -27,11 +27,12 @@
 	revision mp.Revision
 	items    []platform.Item
 	err      error
-	lists    map[string]int // calls by prefix
+	failing  map[string]error // errors of single prefixes
+	lists    map[string]int   // calls by prefix
 }
 
 func newStubStore() *stubStore {
-	return &stubStore{lists: map[string]int{}}
+	return &stubStore{lists: map[string]int{}, failing: map[string]error{}}
 }
 
 func (st *stubStore) put(key mp.ConfigKey, value string) {
@@ -47,6 +48,13 @@
 	st.err = err
 }
 
+// failPrefix makes the list calls of a prefix fail.
+func (st *stubStore) failPrefix(prefix string, err error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.failing[prefix] = err
+}
+
 func (st *stubStore) listCalls(prefix string) int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -58,6 +66,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.lists[prefix]++
+	if err := st.failing[prefix]; err != nil {
+		return platform.Page{}, err
+	}
 	if st.err != nil {
 		return platform.Page{}, st.err
 	}
--- /dev/null
+++ b/gateway/distribution_test.go
@@ -0,0 +1,103 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/loopback"
+	"github.com/mangopaddle/mangopaddle/peer"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+const (
+	// A slow connection carries slowChunk bytes in each slowInterval.
+	slowChunk    = 16 << 10
+	slowInterval = 20 * time.Millisecond
+)
+
+// slowConn is a connection that carries data slowly, without longer pauses.
+type slowConn struct{ net.Conn }
+
+// Read implements io.Reader.
+func (sc slowConn) Read(data []byte) (int, error) {
+	count, err := sc.Conn.Read(data[:min(len(data), slowChunk)])
+	time.Sleep(slowInterval)
+	return count, err
+}
+
+// Write implements io.Writer.
+func (sc slowConn) Write(data []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(data, slowChunk) {
+		count, err := sc.Conn.Write(chunk)
+		written += count
+		if err != nil {
+			return written, err
+		}
+		time.Sleep(slowInterval)
+	}
+	return written, nil
+}
+
+func dialSlowly(ctx context.Context, address peer.Address) (net.Conn, error) {
+	var dialer net.Dialer
+	nc, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{Conn: nc}, nil
+}
+
+// startFedHost starts a second host that the store doesn't serve and that receives what
+// other hosts send it slowly.
+func (fx *fixture) startFedHost() *gateway.Gateway {
+	settings := fx.settings
+	settings.Host = "host-2"
+	settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress = loopback.Address(), loopback.Address(), loopback.Address()
+	settings.MetricsAddress, settings.StoreAddress = loopback.Address(), loopback.Address()
+	_, port, err := net.SplitHostPort(fx.settings.LoadAddress)
+	require.NoError(fx.t, err)
+	settings.LoadAddress = net.JoinHostPort(strings.Split(settings.PeerAddress, ":")[0], port)
+	settings.Seeds = []string{fx.settings.PeerAddress}
+	ga, stop, err := gateway.New(settings, gateway.WithLogger(zerolog.New(fx.logs)), gateway.WithPeerDialer(dialSlowly))
+	require.NoError(fx.t, err)
+	fx.t.Cleanup(stop)
+	return ga
+}
+
+// withLargeRoutes adds routes of about a megabyte that can't be compressed much.
+func withLargeRoutes(content map[string]any) {
+	random := rand.New(rand.NewPCG(3, 3))
+	routes := content["routes"].([]any)
+	for ix := range 1200 {
+		path := &strings.Builder{}
+		for range 50 {
+			fmt.Fprintf(path, "%016x", random.Uint64())
+		}
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprint("large-", ix), "host": "large.example", "path_prefix": "/" + path.String() + "/",
+			"kind": "idempotent", "service": "app", "timeout_ms": 1000, "max_attempts": 1,
+		})
+	}
+	content["routes"] = routes
+}
+
+// TestLargeConfigurationReachesHostWithSlowLink guards against a time limit on a transfer
+// that doesn't depend on its size.
+func TestLargeConfigurationReachesHostWithSlowLink(t *testing.T) {
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil, gateway.WithPeerDialer(dialSlowly))
+	fed := fx.startFedHost()
+	fx.configure(withLargeRoutes)
+	fx.eventually(func() bool { return fed.ConfigVersion() == mp.Version(fx.version) })
+}
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -47,7 +47,7 @@
 
 // newFixture starts a gateway with a fake store that lists the servers of the two
 // services.
-func newFixture(t *testing.T, app, engines []*fakeserver.Server) *fixture {
+func newFixture(t *testing.T, app, engines []*fakeserver.Server, opts ...gateway.Option) *fixture {
 	t.Helper()
 	fx := &fixture{t: t, store: fakestore.New(), logs: &testkit.LogBuffer{}}
 	storeServer := httptest.NewServer(fx.store)
@@ -67,12 +67,12 @@
 	}
 	fx.store.PutConfiguration(1)
 	fx.version = 1
-	fx.start()
+	fx.start(opts...)
 	return fx
 }
 
-func (fx *fixture) start() {
-	ga, stop, err := gateway.New(fx.settings, gateway.WithLogger(zerolog.New(fx.logs)))
+func (fx *fixture) start(opts ...gateway.Option) {
+	ga, stop, err := gateway.New(fx.settings, append(opts, gateway.WithLogger(zerolog.New(fx.logs)))...)
 	require.NoError(fx.t, err)
 	fx.t.Cleanup(stop)
 	fx.gateway = ga
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,8 @@
 	loadTable *peer.LoadTable
 	workloads atomic.Pointer[workloads] // of the newest routing table
 
-	peers *peer.Node
+	peers      *peer.Node
+	peerDialer peer.Option
 
 	reloadMu sync.Mutex
 	// pendingSettings are changed settings that need a restart and have been
@@ -94,6 +95,11 @@
 	return func(ga *Gateway) { ga.droppedLines = droppedLines }
 }
 
+// WithPeerDialer sets how connections to other hosts are opened. The default is TCP.
+func WithPeerDialer(dial peer.DialFunc) Option {
+	return func(ga *Gateway) { ga.peerDialer = peer.WithDialer(dial) }
+}
+
 // New starts a gateway. The returned function stops it immediately; for a graceful
 // shutdown, call Drain first. New returns an error if the settings are not valid or
 // a listener cannot be opened.
@@ -110,6 +116,7 @@
 		loadTable:      peer.NewLoadTable(settings.Host, settings.DataCentre),
 		retryBudgets:   map[mp.ServiceName]*retry.WindowBudget{},
 		retrySlack:     retry.NewSharedSlack(settings.RetrySlack, len(settings.Regions)),
+		peerDialer:     func(*peer.Node) {},
 		listenerErrors: make(chan error, 4),
 	}
 	for _, opt := range opts {
@@ -147,7 +154,7 @@
 	ga.addCleanup(stopFollower)
 	self := peer.Member{Address: peer.Address(ga.settings.PeerAddress), DataCentre: ga.settings.DataCentre}
 	peers, stopPeers, err := peer.New(self, peerAddresses(ga.settings.Seeds), ga,
-		peer.WithClock(ga.clock), peer.WithLogger(ga.logger))
+		peer.WithClock(ga.clock), peer.WithLogger(ga.logger), ga.peerDialer)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -53,6 +53,7 @@
 	logger   zerolog.Logger
 	self     Member
 	delegate Delegate
+	dial     DialFunc
 
 	mu          sync.Mutex
 	members     *MemberList
@@ -74,6 +75,19 @@
 	return func(no *Node) { no.logger = logger }
 }
 
+// DialFunc opens a connection to the address of another host.
+type DialFunc func(ctx context.Context, address Address) (net.Conn, error)
+
+// WithDialer sets how connections to other hosts are opened. The default is TCP.
+func WithDialer(dial DialFunc) Option {
+	return func(no *Node) { no.dial = dial }
+}
+
+func dialTCP(ctx context.Context, address Address) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", string(address))
+}
+
 // New listens on the address of self and starts to gossip, first with the seeds. It
 // returns the node and a function that stops it, or an error if the address can't
 // be bound.
@@ -83,6 +97,7 @@
 		logger:      zerolog.Nop(),
 		self:        self,
 		delegate:    delegate,
+		dial:        dialTCP,
 		unreachable: map[Address]bool{},
 		requested:   make(chan Address, 1),
 	}
@@ -276,8 +291,7 @@
 func (no *Node) exchange(ctx context.Context, remote Address) (Traffic, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	nc, err := dialer.DialContext(ctx, "tcp", string(remote))
+	nc, err := no.dial(ctx, remote)
 	if err != nil {
 		return Traffic{}, errors.Trace(err)
 	}
