follow: the test of an outage waits for the line that it counts

TestStoreOutageIsLoggedOnceAndKeepsState failed once beside other packages, and in 6 of 128 runs beside 16 processes: it waited until NeedsPeers is false, which is so as soon as the list is young again, a moment before store_regained is logged. Ruled out: a lost log line (the count was 1 a moment later).

--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -151,6 +151,7 @@
 	require.Equal(t, 1, strings.Count(log.Text(), `"call":"list"`))
 	require.Len(t, view.Load().Servers, 1)
 	store.fail(nil)
+	requireEventually(t, func() bool { return log.Count("store_regained") > 0 })
 	requireEventually(t, func() bool { return !fo.NeedsPeers() })
 	require.Equal(t, 1, log.Count("store_regained"))
 }
