platform, follow, configwatch: reads of the store end when they stall, not after a fixed time

Cause: list and configuration together had 1 s. A configuration of 3,000 routes is 0.9 MB on the wire, 0.72 s on a link of 10 Mbit/s without anything beside it; a read that doesn't end is thrown away and begun anew, which fills the link further. Class: a limit on a whole transfer whose size isn't bounded alike. Ruled out: a store that is slow or refuses (its other calls were answered).

Change: a call fails when nothing arrives for a second, and after 8 s as a whole. The same limit stood in configwatch, for our own API (5 s for a whole read); it is mended alike.

--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -23,9 +23,11 @@
 const (
 	// watchTimeout is how long the store holds a watch call open without a change.
 	watchTimeout = 30 * time.Second
-	// callTimeout is the timeout of a call, on top of the time that the store may
-	// hold it open.
-	callTimeout = 5 * time.Second
+	// stallTimeout is the time without a byte from the store after which a call fails,
+	// on top of the time that the store may hold it open.
+	stallTimeout = 5 * time.Second
+	// maxTransferTime bounds a call as a whole.
+	maxTransferTime = 30 * time.Second
 	// postRetryInterval is the interval between two attempts to post a message while
 	// the control queue is full.
 	postRetryInterval = 50 * time.Millisecond
@@ -72,7 +74,7 @@
 // New starts a watcher of the store at an address and returns a function that
 // stops it.
 func New(address string, poster Poster, opts ...Option) func() {
-	store, closeStore := platform.NewStore(address)
+	store, closeStore := platform.NewStore(address, platform.WithStallTimeout(stallTimeout))
 	wa := &Watcher{
 		clock:  clockwork.NewRealClock(),
 		logger: zerolog.Nop(),
@@ -125,11 +127,11 @@
 // for changes.
 func (wa *Watcher) next(ctx context.Context) (platform.Page, error) {
 	if wa.revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 		defer cancel()
 		return wa.store.List(ctx, platform.ConfigSetPrefix)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout+maxTransferTime)
 	defer cancel()
 	return wa.store.Watch(ctx, platform.ConfigSetPrefix, wa.revision, watchTimeout)
 }
--- a/follow/configuration_test.go
+++ b/follow/configuration_test.go
@@ -47,7 +47,7 @@
 	})
 	server := httptest.NewServer(slowStore{Handler: store, chunkBytes: 32 << 10, pause: 80 * time.Millisecond})
 	t.Cleanup(server.Close)
-	client, closeClient := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	client, closeClient := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.WithStallTimeout(follow.StallTimeout))
 	t.Cleanup(closeClient)
 	view := follow.NewView()
 	_, stop := follow.New(client, view)
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -28,9 +28,12 @@
 	// failed watch backs off than a list call, which also finds out that the store is
 	// back.
 	watchBackoffOrder = 2
-	// callTimeout is the timeout of a call, on top of the time that the store may
-	// hold it open.
-	callTimeout = time.Second
+	// StallTimeout is the time without a byte from the store after which a call should
+	// fail, on top of the time that the store may hold it open.
+	StallTimeout = time.Second
+	// maxTransferTime bounds a call as a whole. It leaves time for a configuration of a
+	// megabyte on a link of 2 Mbit/s.
+	maxTransferTime = 8 * time.Second
 	// expiryInterval is how often servers that are retained after a store outage are
 	// checked for expiry.
 	expiryInterval = 200 * time.Millisecond
@@ -44,7 +47,8 @@
 	defaultListInterval = 1800 * time.Millisecond
 )
 
-// Store is the part of the platform's store that the follower uses.
+// Store is the part of the platform's store that the follower uses. Its calls fail when
+// nothing arrives for StallTimeout.
 type Store interface {
 	// List returns all items below a prefix and the store revision.
 	List(ctx context.Context, prefix string) (platform.Page, error)
@@ -223,7 +227,7 @@
 // watchOnce waits for changes after a revision. If the store has compacted that
 // revision away, it requests a list call instead.
 func (fo *Follower) watchOnce(ctx context.Context, after mp.Revision) (platform.Page, error) {
-	waiting, cancel := context.WithTimeout(ctx, watchTimeout+callTimeout)
+	waiting, cancel := context.WithTimeout(ctx, watchTimeout+maxTransferTime)
 	defer cancel()
 	page, err := fo.store.Watch(waiting, "", after, watchTimeout)
 	if errors.Is(err, platform.ErrCompacted) {
@@ -314,7 +318,7 @@
 // since the given revision. It returns the revision at which the configuration was
 // read last.
 func (fo *Follower) listOnce(ctx context.Context, configRevision mp.Revision) (mp.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	requestedAt := fo.clock.Now()
 	servers, err := fo.store.List(ctx, platform.ServersPrefix)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
-	store, closeStore := platform.NewStore(ga.settings.StoreAddress)
+	store, closeStore := platform.NewStore(ga.settings.StoreAddress, platform.WithStallTimeout(follow.StallTimeout))
 	ga.addCleanup(closeStore)
 	follower, stopFollower := follow.New(store, ga.view,
 		follow.WithClock(ga.clock), follow.WithLogger(ga.logger), follow.WithOnChange(ga.updateServers),
