follow, gateway: a host is current only when list and configuration are both known

What callers saw: requests handled by an older configuration for several seconds, at hosts that could read the store in part (CONFIG).

Cause: the age of the server list stood for both. A host whose read of the configuration failed had a young list, told that to the others, and neither it nor they read the store again for up to two list intervals; its watch even went on behind the change. Class: the freshness of one thing vouches for another. Evidence: in TestHostWithoutNewestConfigurationAsksPeers the host's list is young through ten seconds of failed reads and it asks nobody. Ruled out: configurations that are taken back (versions only rise in all logs).

A list still counts at once for leaving servers.

--- a/follow/configuration_test.go
+++ b/follow/configuration_test.go
@@ -74,4 +74,9 @@
 	}
 	require.Equal(t, mp.Version(4), view.Load().Version())
 	require.True(t, fo.NeedsPeers())
+	snapshot := view.Load()
+	require.Less(t, clock.Since(snapshot.ListConfirmedAt), 4*time.Second)
+	require.Greater(t, clock.Since(snapshot.ConfirmedAt()), 8*time.Second, "other hosts must not take it for current")
+	fo.Confirm(follow.Confirmation{Version: 5, ConfigurationAt: clock.Now()})
+	require.Equal(t, snapshot.ConfirmedAt(), view.Load().ConfirmedAt(), "another host has another version")
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -265,9 +265,11 @@
 		}
 	}
 	fo.applyConfigurationFrom(page)
-	if len(servers.Items) > 0 {
-		fo.submit(func(st *state) bool { return st.applyServerChanges(fo.clock.Now(), servers) })
-	}
+	now := fo.clock.Now()
+	fo.submit(func(st *state) bool {
+		st.confirmConfiguration(now)
+		return len(servers.Items) > 0 && st.applyServerChanges(now, servers)
+	})
 }
 
 // runList lists the backend servers at an interval. The store revision in the
@@ -297,7 +299,7 @@
 	// not make this host's list any younger.
 	calledAt := fo.clock.Now()
 	for {
-		wait := fo.readPlan().UntilList(fo.readerOrder(), failures, fo.clock.Since(fo.view.Load().ListConfirmedAt))
+		wait := fo.readPlan().UntilList(fo.readerOrder(), failures, fo.clock.Since(fo.view.Load().ConfirmedAt()))
 		wait = max(wait, fo.listInterval/minListSpacing-fo.clock.Since(calledAt))
 		if wait <= 0 {
 			return
@@ -316,7 +318,8 @@
 
 // listOnce reads the server list, and the configuration if the store has changed
 // since the given revision. It returns the revision at which the configuration was
-// read last.
+// read last. Only once both are read, the host counts as current and the watch goes on
+// from there.
 func (fo *Follower) listOnce(ctx context.Context, configRevision mp.Revision) (mp.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
@@ -325,17 +328,21 @@
 	if err != nil {
 		return configRevision, errors.Trace(err)
 	}
-	fo.advanceWatch(servers.Revision)
 	fo.submit(func(st *state) bool { return st.replaceServers(requestedAt, servers) })
-	if servers.Revision <= configRevision {
-		return configRevision, nil
-	}
-	page, err := fo.store.List(ctx, platform.OperatorPrefix)
-	if err != nil {
-		return configRevision, errors.Trace(err)
+	if servers.Revision > configRevision {
+		page, err := fo.store.List(ctx, platform.OperatorPrefix)
+		if err != nil {
+			return configRevision, errors.Trace(err)
+		}
+		fo.applyConfigurationFrom(page)
+		configRevision = page.Revision
 	}
-	fo.applyConfigurationFrom(page)
-	return page.Revision, nil
+	fo.advanceWatch(servers.Revision)
+	fo.submit(func(st *state) bool {
+		st.confirmConfiguration(requestedAt)
+		return false
+	})
+	return configRevision, nil
 }
 
 // applyConfigurationFrom applies the configuration in a page, if there is one. A
@@ -393,12 +400,12 @@
 }
 
 // NeedsPeers reports whether the store is unavailable to this host, and no other host
-// has confirmed its list within the list interval.
+// has confirmed its state within the list interval.
 func (fo *Follower) NeedsPeers() bool {
 	fo.mu.Lock()
 	failing := len(fo.failingSince) > 0
 	fo.mu.Unlock()
-	return failing && fo.clock.Since(fo.view.Load().ListConfirmedAt) > fo.listInterval
+	return failing && fo.clock.Since(fo.view.Load().ConfirmedAt()) > fo.listInterval
 }
 
 // ReportVersion records that a host has a version of the configuration. If it is newer
@@ -423,12 +430,11 @@
 	fo.submit(func(st *state) bool { return st.applyConfiguration(data, SourcePeer) })
 }
 
-// ConfirmServers records a peer's report that the server list of a revision was
-// current at a time. It has no effect if this host has another revision or has already
-// recorded a later time.
-func (fo *Follower) ConfirmServers(at time.Time, revision mp.Revision) {
+// Confirm records another host's confirmation. It has no effect on a part of the state
+// of which this host has another revision or has already recorded a later time.
+func (fo *Follower) Confirm(co Confirmation) {
 	fo.submit(func(st *state) bool {
-		st.directory.Confirm(at, revision)
+		st.confirm(co)
 		return false
 	})
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -170,7 +170,10 @@
 	waitForSleepers := func() { require.NoError(t, clock.BlockUntilContext(t.Context(), sleepers)) }
 	waitForSleepers()
 	clock.Advance(time.Second)
-	fo.ConfirmServers(clock.Now(), view.Load().ListRevision)
+	fo.Confirm(follow.Confirmation{
+		ListRevision: view.Load().ListRevision, ListAt: clock.Now(),
+		Version: view.Load().Version(), ConfigurationAt: clock.Now(),
+	})
 	require.Equal(t, clock.Now(), view.Load().ListConfirmedAt)
 	waitForSleepers()
 	clock.Advance(700 * time.Millisecond)
--- a/follow/state.go
+++ b/follow/state.go
@@ -28,6 +28,9 @@
 	directory *directory.Directory
 	table     *routing.Table
 	raw       []byte // the encoded configuration of the table
+	// configurationConfirmedAt is the last time at which the configuration is known to
+	// have matched the store.
+	configurationConfirmedAt time.Time
 	// lastRefusal is the error of the last configuration that could not be
 	// decoded, so that a repeated read does not log it again.
 	lastRefusal string
@@ -64,6 +67,33 @@
 	return true
 }
 
+// confirmConfiguration records that the configuration matched the store at a time.
+func (st *state) confirmConfiguration(at time.Time) {
+	if at.After(st.configurationConfirmedAt) {
+		st.configurationConfirmedAt = at
+	}
+}
+
+// Confirmation is another host's report of what the store contained: the revision of
+// the server list and the version of the configuration, each with the last time at which
+// it is known to have been current.
+type Confirmation struct {
+	ListRevision    mp.Revision
+	ListAt          time.Time
+	Version         mp.Version
+	ConfigurationAt time.Time
+}
+
+// confirm records a confirmation of what this host has too.
+func (st *state) confirm(co Confirmation) {
+	if co.ListRevision > 0 {
+		st.directory.Confirm(co.ListAt, co.ListRevision)
+	}
+	if co.Version > 0 && co.Version == st.version() {
+		st.confirmConfiguration(co.ConfigurationAt)
+	}
+}
+
 // version returns the version of the current configuration, zero for none.
 func (st *state) version() mp.Version {
 	if st.table == nil {
@@ -163,6 +193,8 @@
 		Servers:          st.directory.Servers(),
 		ListRevision:     st.directory.Revision(),
 		ListConfirmedAt:  st.directory.ConfirmedAt(),
+
+		ConfigurationConfirmedAt: st.configurationConfirmedAt,
 	}
 }
 
--- a/follow/view.go
+++ b/follow/view.go
@@ -31,6 +31,17 @@
 	// ListConfirmedAt is the last time at which the server list is known to have
 	// matched the store.
 	ListConfirmedAt time.Time
+	// ConfigurationConfirmedAt is the same for the configuration.
+	ConfigurationConfirmedAt time.Time
+}
+
+// ConfirmedAt returns the last time at which both the configuration and the server list
+// are known to have matched the store.
+func (sn *Snapshot) ConfirmedAt() time.Time {
+	if sn.ConfigurationConfirmedAt.Before(sn.ListConfirmedAt) {
+		return sn.ConfigurationConfirmedAt
+	}
+	return sn.ListConfirmedAt
 }
 
 // Version returns the version of the configuration, zero for none.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -12,13 +12,16 @@
 // start.
 const startupGossipPeriod = 5 * time.Second
 
-// digest returns the configuration version of a snapshot, and the revision and age of
-// its server list.
+// digest returns the version and age of the configuration of a snapshot, and the revision
+// and age of its server list.
 func (ga *Gateway) digest(snapshot *follow.Snapshot) peer.Digest {
 	di := peer.Digest{Version: snapshot.Version(), ListRevision: snapshot.ListRevision}
 	if di.ListRevision > 0 {
 		di.ListAge = mp.Duration(ga.clock.Since(snapshot.ListConfirmedAt))
 	}
+	if di.Version > 0 {
+		di.ConfigurationAge = mp.Duration(ga.clock.Since(snapshot.ConfigurationConfirmedAt))
+	}
 	return di
 }
 
@@ -42,20 +45,26 @@
 	if remote.Configuration != nil && remote.Version > snapshot.Version() {
 		ga.follower.MergeConfiguration(remote.Configuration)
 	}
-	confirmedAt := at.Add(-remote.ListAge.Std())
 	if remote.Servers != nil && remote.ListRevision > snapshot.ListRevision {
-		ga.follower.MergeServers(confirmedAt, remote.ListRevision, remote.Servers)
-		return
+		ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListRevision, remote.Servers)
 	}
-	ga.confirmServers(confirmedAt, remote.Digest)
+	ga.confirm(at, remote.Digest)
 }
 
-// confirmServers updates the age of the server list if another host has confirmed the
-// same revision more than minConfirmAdvance later.
-func (ga *Gateway) confirmServers(confirmedAt time.Time, remote peer.Digest) {
+// confirm records another host's digest that was current at a time, if it confirms the
+// list or the configuration of this host more than minConfirmAdvance later than known.
+func (ga *Gateway) confirm(at time.Time, remote peer.Digest) {
 	snapshot := ga.view.Load()
-	if remote.ListRevision == snapshot.ListRevision && remote.ListRevision > 0 && confirmedAt.Sub(snapshot.ListConfirmedAt) > minConfirmAdvance {
-		ga.follower.ConfirmServers(confirmedAt, remote.ListRevision)
+	co := follow.Confirmation{
+		ListRevision:    remote.ListRevision,
+		ListAt:          at.Add(-remote.ListAge.Std()),
+		Version:         remote.Version,
+		ConfigurationAt: at.Add(-remote.ConfigurationAge.Std()),
+	}
+	newList := co.ListRevision > 0 && co.ListRevision == snapshot.ListRevision && co.ListAt.Sub(snapshot.ListConfirmedAt) > minConfirmAdvance
+	newConfiguration := co.Version > 0 && co.Version == snapshot.Version() && co.ConfigurationAt.Sub(snapshot.ConfigurationConfirmedAt) > minConfirmAdvance
+	if newList || newConfiguration {
+		ga.follower.Confirm(co)
 	}
 }
 
@@ -118,7 +127,7 @@
 		}
 		return
 	}
-	ga.confirmServers(now.Add(-update.ListAge.Std()), update.Digest)
+	ga.confirm(now, update.Digest)
 }
 
 // assumedReaderOrder is the position in the reader order that a host assumes while it
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -47,6 +47,8 @@
 	ListRevision mp.Revision `json:"list_revision"`
 	// ListAge is the time since the list was last confirmed to match the store.
 	ListAge mp.Duration `json:"list_age"`
+	// ConfigurationAge is the same for the configuration.
+	ConfigurationAge mp.Duration `json:"configuration_age,omitempty"`
 }
 
 // NewerThan reports whether the digest has a newer configuration or server list
