peer, follow, gateway: configurations travel apart from the server list, compressed, as long as they make progress

Cause: an exchange between hosts had 0.7 s as a whole and carried the configuration and the list of leaving servers in one message. With 3,000 routes it has 0.9 MB; a host with 10 Mbit/s never got it, tried again with host after host, filled its link, and missed the leaving servers too. All hosts of a data centre asked the one reader at once. Class: a limit on a whole transfer whose size isn't bounded alike, and an urgent small message behind a large one. Evidence: peer_lost after 700 ms with 245,760 to 360,448 of 0.9 MB received. Ruled out: a late takeover by the next reader (each data centre had one with the version within half a second).

Change: exchanges carry digests, members and servers; the configuration is fetched by the host that lacks it, on a goroutine of its own, compressed (gzip), and ends when it stalls for 0.7 s. Hosts keep the configuration compressed only.

--- a/follow/configuration_test.go
+++ b/follow/configuration_test.go
@@ -1,6 +1,8 @@
 package follow_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,12 +11,14 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakestore"
+	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
 // slowStore serves the pages of a store in chunks with pauses in between.
@@ -80,3 +84,37 @@
 	fo.Confirm(follow.Confirmation{Version: 5, ConfigurationAt: clock.Now()})
 	require.Equal(t, snapshot.ConfirmedAt(), view.Load().ConfirmedAt(), "another host has another version")
 }
+
+// compressed returns a text in the gzip format.
+func compressed(t *testing.T, text string) []byte {
+	t.Helper()
+	buffer := &bytes.Buffer{}
+	writer := gzip.NewWriter(buffer)
+	_, err := writer.Write([]byte(text))
+	require.NoError(t, err)
+	require.NoError(t, writer.Close())
+	return buffer.Bytes()
+}
+
+// TestConfigurationsFromPeers checks that a newer configuration of another host is
+// applied and passed on as it came, and that one which is cut, no configuration, or too
+// large once it is decompressed, is refused.
+func TestConfigurationsFromPeers(t *testing.T) {
+	store, view, log := newStubStore(), follow.NewView(), &testkit.LogBuffer{}
+	store.put("servers/a", entry)
+	store.put("op/config", configuration)
+	fo, stop := follow.New(store, view, follow.WithLogger(zerolog.New(log)))
+	t.Cleanup(stop)
+	<-view.Ready()
+	newer := compressed(t, `{"version":9}`)
+	for ix, refused := range [][]byte{
+		nil, []byte("x"), newer[:len(newer)-5], compressed(t, "{"), compressed(t, `{"version":9,"x":"`+strings.Repeat("x", 5<<20)+`"}`),
+	} {
+		fo.MergeConfiguration(refused)
+		require.Equal(t, mp.Version(4), view.Load().Version(), "case %d", ix)
+	}
+	require.Positive(t, log.Count("configuration_refused"))
+	fo.MergeConfiguration(newer)
+	require.Equal(t, mp.Version(9), view.Load().Version())
+	require.Equal(t, newer, view.Load().CompressedConfiguration)
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -356,7 +356,7 @@
 	if data == nil {
 		return
 	}
-	fo.submit(func(st *state) bool { return st.applyConfiguration(data, SourceStore) })
+	fo.submit(func(st *state) bool { return st.applyStoredConfiguration(data) })
 }
 
 // backoff waits after a failed call, with jitter so that hosts do not retry in
@@ -425,9 +425,9 @@
 		Int64("version_in_force", int64(inForce)).Msg("another host has a newer configuration")
 }
 
-// MergeConfiguration applies a peer's configuration if its version is higher.
-func (fo *Follower) MergeConfiguration(data []byte) {
-	fo.submit(func(st *state) bool { return st.applyConfiguration(data, SourcePeer) })
+// MergeConfiguration applies a peer's compressed configuration if its version is higher.
+func (fo *Follower) MergeConfiguration(compressed []byte) {
+	fo.submit(func(st *state) bool { return st.applyPeerConfiguration(compressed) })
 }
 
 // Confirm records another host's confirmation. It has no effect on a part of the state
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -212,7 +212,7 @@
 	defer stop()
 	<-view.Ready()
 	known := view.Load()
-	fo.MergeConfiguration([]byte(`{"version":3}`))
+	fo.MergeConfiguration(compressed(t, `{"version":3}`))
 	fo.MergeServers(known.ListConfirmedAt.Add(-time.Second), known.ListRevision+5, nil)
 	fo.MergeServers(known.ListConfirmedAt.Add(time.Second), known.ListRevision-1, nil)
 	fo.MergeServers(known.ListConfirmedAt.Add(2*time.Second), known.ListRevision+1, []directory.Server{{ID: "n", State: directory.Ready}})
--- a/follow/state.go
+++ b/follow/state.go
@@ -27,7 +27,8 @@
 	logger    zerolog.Logger
 	directory *directory.Directory
 	table     *routing.Table
-	raw       []byte // the encoded configuration of the table
+	// compressed is the encoded configuration of the table, for other hosts.
+	compressed []byte
 	// configurationConfirmedAt is the last time at which the configuration is known to
 	// have matched the store.
 	configurationConfirmedAt time.Time
@@ -43,30 +44,58 @@
 	return &state{logger: logger, directory: directory.New(), invalid: map[mp.ServerID]bool{}}
 }
 
+// applyStoredConfiguration applies a configuration that was read from the store and
+// reports whether it is newer than the current one.
+func (st *state) applyStoredConfiguration(data []byte) bool {
+	compressed, err := compress(data)
+	if err != nil {
+		st.refuseConfiguration(SourceStore, err)
+		return false
+	}
+	return st.applyConfiguration(data, compressed, SourceStore)
+}
+
+// applyPeerConfiguration applies the compressed configuration of a peer and reports
+// whether it is newer than the current one.
+func (st *state) applyPeerConfiguration(compressed []byte) bool {
+	data, err := decompress(compressed)
+	if err != nil {
+		st.refuseConfiguration(SourcePeer, err)
+		return false
+	}
+	return st.applyConfiguration(data, compressed, SourcePeer)
+}
+
 // applyConfiguration replaces the configuration if the encoded one has a higher
 // version, and reports whether it did. An invalid configuration is logged and
 // ignored.
-func (st *state) applyConfiguration(data []byte, source Source) bool {
+func (st *state) applyConfiguration(data, compressed []byte, source Source) bool {
 	co, err := platform.DecodeConfiguration(data)
 	if err != nil {
-		if text := err.Error(); text != st.lastRefusal {
-			st.lastRefusal = text
-			st.logger.Error().Str("event", "configuration_refused").Str("source", string(source)).Err(err).
-				Int64("version_in_force", int64(st.version())).Msg("cannot decode configuration; keeping the current one")
-		}
+		st.refuseConfiguration(source, err)
 		return false
 	}
 	if co.Version <= st.version() {
 		return false
 	}
 	before := st.version()
-	st.table, st.raw = routing.New(co), data
+	st.table, st.compressed = routing.New(co), compressed
 	st.logger.Info().Str("event", "configuration_adopted").Str("source", string(source)).
 		Int64("version", int64(co.Version)).Int64("version_before", int64(before)).
-		Int("routes", len(co.Routes)).Int("organisations", len(co.Organisations)).Msg("configuration applied")
+		Int("routes", len(co.Routes)).Int("organisations", len(co.Organisations)).Int("compressed_bytes", len(compressed)).Msg("configuration applied")
 	return true
 }
 
+// refuseConfiguration logs why a configuration is not applied, once for each reason in a
+// row.
+func (st *state) refuseConfiguration(source Source, err error) {
+	if text := err.Error(); text != st.lastRefusal {
+		st.lastRefusal = text
+		st.logger.Error().Str("event", "configuration_refused").Str("source", string(source)).Err(err).
+			Int64("version_in_force", int64(st.version())).Msg("cannot decode configuration; keeping the current one")
+	}
+}
+
 // confirmConfiguration records that the configuration matched the store at a time.
 func (st *state) confirmConfiguration(at time.Time) {
 	if at.After(st.configurationConfirmedAt) {
@@ -188,12 +217,11 @@
 // snapshot returns an immutable copy of the state for request handlers.
 func (st *state) snapshot() *Snapshot {
 	return &Snapshot{
-		Table:            st.table,
-		RawConfiguration: st.raw,
-		Servers:          st.directory.Servers(),
-		ListRevision:     st.directory.Revision(),
-		ListConfirmedAt:  st.directory.ConfirmedAt(),
-
+		Table:                    st.table,
+		CompressedConfiguration:  st.compressed,
+		Servers:                  st.directory.Servers(),
+		ListRevision:             st.directory.Revision(),
+		ListConfirmedAt:          st.directory.ConfirmedAt(),
 		ConfigurationConfirmedAt: st.configurationConfirmedAt,
 	}
 }
--- a/follow/view.go
+++ b/follow/view.go
@@ -22,8 +22,9 @@
 type Snapshot struct {
 	// Table is the routing table; nil before the first configuration.
 	Table *routing.Table
-	// RawConfiguration is the encoded configuration as the operator published it.
-	RawConfiguration []byte
+	// CompressedConfiguration is the configuration as the operator published it,
+	// compressed by Compress.
+	CompressedConfiguration []byte
 	// Servers are the listed backend servers, ordered by identifier.
 	Servers []directory.Server
 	// ListRevision is the store revision of the server list; zero for none.
--- a/gateway/distribution_test.go
+++ b/gateway/distribution_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -59,9 +60,46 @@
 	return slowConn{Conn: nc}, nil
 }
 
-// startFedHost starts a second host that the store doesn't serve and that receives what
-// other hosts send it slowly.
-func (fx *fixture) startFedHost() *gateway.Gateway {
+// narrowConn is a connection that carries promptBytes at once and whatever follows so
+// slowly that a large transfer doesn't end.
+type narrowConn struct {
+	net.Conn
+	read int
+}
+
+const (
+	promptBytes    = 64 << 10
+	narrowInterval = 300 * time.Millisecond
+)
+
+// Read implements io.Reader.
+func (nc *narrowConn) Read(data []byte) (int, error) {
+	if nc.read >= promptBytes {
+		time.Sleep(narrowInterval)
+		data = data[:min(len(data), 1)]
+	}
+	count, err := nc.Conn.Read(data)
+	nc.read += count
+	return count, err
+}
+
+func dialNarrow(ctx context.Context, address peer.Address) (net.Conn, error) {
+	var dialer net.Dialer
+	nc, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, err
+	}
+	return &narrowConn{Conn: nc}, nil
+}
+
+// dialNobody fails, so that a host sends others only what they ask for.
+func dialNobody(context.Context, peer.Address) (net.Conn, error) {
+	return nil, errors.New("no connections from here")
+}
+
+// startFedHost starts a second host that the store doesn't serve and that opens
+// connections to other hosts with the dialer.
+func (fx *fixture) startFedHost(dial peer.DialFunc) *gateway.Gateway {
 	settings := fx.settings
 	settings.Host = "host-2"
 	settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress = loopback.Address(), loopback.Address(), loopback.Address()
@@ -70,7 +108,7 @@
 	require.NoError(fx.t, err)
 	settings.LoadAddress = net.JoinHostPort(strings.Split(settings.PeerAddress, ":")[0], port)
 	settings.Seeds = []string{fx.settings.PeerAddress}
-	ga, stop, err := gateway.New(settings, gateway.WithLogger(zerolog.New(fx.logs)), gateway.WithPeerDialer(dialSlowly))
+	ga, stop, err := gateway.New(settings, gateway.WithLogger(zerolog.New(fx.logs)), gateway.WithPeerDialer(dial))
 	require.NoError(fx.t, err)
 	fx.t.Cleanup(stop)
 	return ga
@@ -97,7 +135,21 @@
 // that doesn't depend on its size.
 func TestLargeConfigurationReachesHostWithSlowLink(t *testing.T) {
 	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil, gateway.WithPeerDialer(dialSlowly))
-	fed := fx.startFedHost()
+	fed := fx.startFedHost(dialSlowly)
 	fx.configure(withLargeRoutes)
 	fx.eventually(func() bool { return fed.ConfigVersion() == mp.Version(fx.version) })
 }
+
+// TestLeavingServerIsKnownDuringLargeTransfer guards against servers that leave and are
+// heard of only after a large configuration.
+func TestLeavingServerIsKnownDuringLargeTransfer(t *testing.T) {
+	app := startServer(t, respondWith("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil, gateway.WithPeerDialer(dialNobody))
+	fed := fx.startFedHost(dialNarrow)
+	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 1 })
+	fx.configure(withLargeRoutes)
+	fx.eventually(func() bool { return fx.logs.Count("configuration_behind") > 1 }) // the first and the large one
+	fx.putServer("app-0", "app", app.Address(), "draining")
+	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 0 })
+	require.Less(t, fed.ConfigVersion(), mp.Version(fx.version))
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -29,9 +29,6 @@
 func (ga *Gateway) StateFor(other peer.State) peer.State {
 	snapshot := ga.view.Load()
 	local := peer.State{Digest: ga.digest(snapshot)}
-	if other.Version < local.Version {
-		local.Configuration = snapshot.RawConfiguration
-	}
 	if other.ListRevision < local.ListRevision {
 		local.Servers = snapshot.Servers
 	}
@@ -42,15 +39,25 @@
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
 	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	snapshot := ga.view.Load()
-	if remote.Configuration != nil && remote.Version > snapshot.Version() {
-		ga.follower.MergeConfiguration(remote.Configuration)
-	}
 	if remote.Servers != nil && remote.ListRevision > snapshot.ListRevision {
 		ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListRevision, remote.Servers)
 	}
 	ga.confirm(at, remote.Digest)
 }
 
+// Configuration implements peer.Delegate.
+func (ga *Gateway) Configuration() peer.Configuration {
+	snapshot := ga.view.Load()
+	return peer.Configuration{Version: snapshot.Version(), Compressed: snapshot.CompressedConfiguration}
+}
+
+// MergeConfiguration implements peer.Delegate.
+func (ga *Gateway) MergeConfiguration(received peer.Configuration) {
+	if received.Version > ga.view.Load().Version() {
+		ga.follower.MergeConfiguration(received.Compressed)
+	}
+}
+
 // confirm records another host's digest that was current at a time, if it confirms the
 // list or the configuration of this host more than minConfirmAdvance later than known.
 func (ga *Gateway) confirm(at time.Time, remote peer.Digest) {
@@ -115,21 +122,29 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
-	ga.follower.ReportVersion(string(update.From.Address), update.Version)
 	if update.Aggregate && !ga.sharesReads {
 		return
 	}
-	if update.NewerThan(ga.digest(ga.view.Load())) {
-		// Of an aggregate, only the host that relays it fetches the state: the others of
-		// the data centre get it from there.
-		if !update.Aggregate || update.Relay {
-			ga.peers.TriggerExchange(update.From.Address)
-		}
-		return
+	// Of an aggregate, only the host that relays it fetches what is newer: the others of
+	// the data centre get it from there.
+	if !update.Aggregate || update.Relay {
+		ga.fetchNewer(update)
 	}
 	ga.confirm(now, update.Digest)
 }
 
+// fetchNewer requests what is newer at the sender of a load update.
+func (ga *Gateway) fetchNewer(update peer.LoadUpdate) {
+	snapshot := ga.view.Load()
+	if update.Version > snapshot.Version() {
+		ga.follower.ReportVersion(string(update.From.Address), update.Version)
+		ga.peers.TriggerTransfer(update.From.Address)
+	}
+	if update.ListRevision > snapshot.ListRevision {
+		ga.peers.TriggerExchange(update.From.Address)
+	}
+}
+
 // assumedReaderOrder is the position in the reader order that a host assumes while it
 // doesn't know the other hosts yet.
 const assumedReaderOrder = 4
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -15,6 +15,10 @@
 // result are a State.
 const MethodExchange Method = "state.exchange"
 
+// MethodConfiguration is the method by which a host fetches a newer configuration: its
+// parameters are a ConfigurationRequest and its result is a Configuration.
+const MethodConfiguration Method = "state.configuration"
+
 // Address is where a host listens for other hosts: an IP address with a port.
 type Address string
 
@@ -32,12 +36,25 @@
 	Members []Member `json:"members,omitempty"`
 	Digest
 
-	// Configuration is the encoded configuration, if the receiver may lack it.
-	Configuration []byte `json:"configuration,omitempty"`
 	// Servers is the list of backend servers, if the receiver may lack it.
 	Servers []directory.Server `json:"servers,omitempty"`
 }
 
+// ConfigurationRequest asks for a configuration that is newer than the sender's.
+type ConfigurationRequest struct {
+	From Member `json:"from"`
+	// Version is the version of the sender's configuration, zero for none.
+	Version mp.Version `json:"version"`
+}
+
+// Configuration is a configuration in transfer. Its version is zero if the host that was
+// asked has no newer one, or is sending too many already.
+type Configuration struct {
+	Version mp.Version `json:"version"`
+	// Compressed is the configuration as the operator published it, compressed by gzip.
+	Compressed []byte `json:"compressed,omitempty"`
+}
+
 // Digest summarises a host's state by its versions.
 type Digest struct {
 	// Version is the version of the configuration, zero for none.
@@ -50,9 +67,3 @@
 	// ConfigurationAge is the same for the configuration.
 	ConfigurationAge mp.Duration `json:"configuration_age,omitempty"`
 }
-
-// NewerThan reports whether the digest has a newer configuration or server list
-// than the other one.
-func (di Digest) NewerThan(other Digest) bool {
-	return di.Version > other.Version || di.ListRevision > other.ListRevision
-}
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -25,11 +25,13 @@
 	updates []peer.LoadUpdate
 }
 
-func (rd *recordingDelegate) StateFor(peer.State) peer.State   { return peer.State{} }
-func (rd *recordingDelegate) MergeState(time.Time, peer.State) {}
-func (rd *recordingDelegate) FastGossip() bool                 { return false }
-func (rd *recordingDelegate) LocalPeers() []peer.Address       { return nil }
-func (rd *recordingDelegate) RemoteContacts() []peer.Address   { return nil }
+func (rd *recordingDelegate) StateFor(peer.State) peer.State        { return peer.State{} }
+func (rd *recordingDelegate) MergeState(time.Time, peer.State)      {}
+func (rd *recordingDelegate) Configuration() peer.Configuration     { return peer.Configuration{} }
+func (rd *recordingDelegate) MergeConfiguration(peer.Configuration) {}
+func (rd *recordingDelegate) FastGossip() bool                      { return false }
+func (rd *recordingDelegate) LocalPeers() []peer.Address            { return nil }
+func (rd *recordingDelegate) RemoteContacts() []peer.Address        { return nil }
 func (rd *recordingDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
 	return nil, peer.Digest{}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -20,14 +20,16 @@
 	// fastGossipInterval is the mean interval while Delegate.FastGossip returns true,
 	// for example because other hosts are the only source of state.
 	fastGossipInterval = 400 * time.Millisecond
-	// exchangeTimeout is the timeout of a whole exchange, including the dial.
-	exchangeTimeout = 700 * time.Millisecond
-	// connectionLifetime is the maximum lifetime of an incoming connection.
-	connectionLifetime = 5 * time.Second
-	// maxExchangeBytes bounds what is read of one connection: several times the size
-	// of a configuration and a list of 10,000 servers. A connection that sends more
-	// can't exhaust the host's memory.
-	maxExchangeBytes = 8 << 20
+	// stallTimeout is the time without progress after which an exchange or a transfer
+	// fails, including the dial.
+	stallTimeout = 700 * time.Millisecond
+	// maxExchangeTime bounds an exchange as a whole. It leaves time for a list of
+	// 10,000 servers on a link of 10 Mbit/s.
+	maxExchangeTime = 2 * time.Second
+	// serverStallTimeout is the time without progress after which an incoming connection
+	// is closed, and maxConnectionTime bounds it as a whole.
+	serverStallTimeout = 5 * time.Second
+	maxConnectionTime  = 10 * time.Second
 	// maxConnections is the maximum number of incoming connections; more are closed
 	// at once.
 	maxConnections = 32
@@ -35,6 +37,11 @@
 
 // Delegate gives a Node access to the state that it gossips.
 type Delegate interface {
+	// Configuration returns the configuration in force. Its version is zero if there is
+	// none.
+	Configuration() Configuration
+	// MergeConfiguration takes the configuration of another host.
+	MergeConfiguration(received Configuration)
 	// StateFor returns a digest of the local state and the parts of it that are
 	// newer than the remote state. The zero State is older than any other.
 	StateFor(remote State) State
@@ -59,6 +66,10 @@
 	members     *MemberList
 	unreachable map[Address]bool // hosts whose last exchange failed
 	requested   chan Address     // hosts passed to TriggerExchange
+	// newerConfigurations are the hosts passed to TriggerTransfer; transfers limits the
+	// configurations that are sent at once.
+	newerConfigurations chan Address
+	transfers           chan struct{}
 }
 
 // Option configures a node.
@@ -100,6 +111,9 @@
 		dial:        dialTCP,
 		unreachable: map[Address]bool{},
 		requested:   make(chan Address, 1),
+
+		newerConfigurations: make(chan Address, 1),
+		transfers:           make(chan struct{}, maxTransfers),
 	}
 	no.members = NewMemberList(self, seeds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	for _, opt := range opts {
@@ -113,6 +127,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { no.accept(ctx, listener) })
 	group.Go(func() { no.run(ctx) })
+	group.Go(func() { no.runTransfers(ctx) })
 	return no, func() {
 		cancel()
 		_ = listener.Close()
@@ -191,10 +206,9 @@
 }
 
 func (no *Node) serve(ctx context.Context, nc net.Conn) {
-	ctx, cancel := context.WithTimeout(ctx, connectionLifetime)
+	ctx, cancel := context.WithTimeout(ctx, maxConnectionTime)
 	defer cancel()
-	handler := jsonrpc2.HandlerWithError(no.handle)
-	conn := jsonrpc2.NewConn(ctx, newMeteredConn(nc).objectStream(), handler)
+	conn := no.newRPCConn(ctx, newPeerConn(nc, serverStallTimeout))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -202,25 +216,57 @@
 	}
 }
 
-func (no *Node) handle(_ context.Context, _ *jsonrpc2.Conn, rq *jsonrpc2.Request) (any, error) {
-	if rq.Method != string(MethodExchange) || rq.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
+// newRPCConn starts to serve calls on a connection.
+func (no *Node) newRPCConn(ctx context.Context, pc *peerConn) *jsonrpc2.Conn {
+	return jsonrpc2.NewConn(ctx, pc.objectStream(), no, jsonrpc2.SetLogger(protocolLog{no.logger}))
+}
+
+// Handle implements jsonrpc2.Handler.
+func (no *Node) Handle(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
+	switch {
+	case rq.Method == string(MethodExchange) && rq.Params != nil:
+		no.handleExchange(ctx, conn, rq)
+	case rq.Method == string(MethodConfiguration) && rq.Params != nil:
+		no.handleTransfer(ctx, conn, rq)
+	default:
+		no.replyError(ctx, conn, rq, jsonrpc2.CodeMethodNotFound, "unknown method")
 	}
+}
+
+// handleExchange merges the state of another host and responds with what that one lacks.
+func (no *Node) handleExchange(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request) {
 	var remote State
 	if err := json.Unmarshal(*rq.Params, &remote); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "params can't be read"}
+		no.replyError(ctx, conn, rq, jsonrpc2.CodeInvalidParams, "params can't be read")
+		return
 	}
 	no.mergeState(no.clock.Now(), remote)
-	return no.stateFor(remote), nil
+	no.reply(ctx, conn, rq, no.stateFor(remote))
 }
 
-// mergeState merges the members and the state of another host.
+func (no *Node) reply(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request, result any) {
+	if err := conn.Reply(ctx, rq.ID, result); err != nil {
+		no.logger.Debug().Str("event", "peer_reply_failed").Str("method", rq.Method).Err(err).Msg("cannot respond to another host")
+	}
+}
+
+func (no *Node) replyError(ctx context.Context, conn *jsonrpc2.Conn, rq *jsonrpc2.Request, code int64, message string) {
+	if err := conn.ReplyWithError(ctx, rq.ID, &jsonrpc2.Error{Code: code, Message: message}); err != nil {
+		no.logger.Debug().Str("event", "peer_reply_failed").Str("method", rq.Method).Err(err).Msg("cannot respond to another host")
+	}
+}
+
+// mergeState merges the members and the state of another host, and fetches its
+// configuration if that is newer.
 func (no *Node) mergeState(at time.Time, remote State) {
 	no.mu.Lock()
 	no.members.MarkSeen(no.clock.Now(), remote.From)
 	no.members.AddReported(no.clock.Now(), remote.Members)
 	no.mu.Unlock()
 	no.delegate.MergeState(at, remote)
+	if remote.From.Address != "" && remote.Version > no.delegate.Configuration().Version {
+		no.TriggerTransfer(remote.From.Address)
+	}
 }
 
 // stateFor returns the message for a host with the given state.
@@ -289,38 +335,43 @@
 // the parts that this host lacks, and then sends the parts that the remote host
 // lacks, if any. It also returns what it sent and received until then.
 func (no *Node) exchange(ctx context.Context, remote Address) (Traffic, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxExchangeTime)
 	defer cancel()
-	nc, err := no.dial(ctx, remote)
-	if err != nil {
-		return Traffic{}, errors.Trace(err)
-	}
-	metered := newMeteredConn(nc)
-	err = no.exchangeOn(ctx, metered)
-	return metered.traffic(), errors.Trace(err)
+	return no.withConn(ctx, remote, func(conn *jsonrpc2.Conn) error {
+		sentAt := no.clock.Now()
+		response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{ListRevision: maxRevision}}))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		no.mergeState(sentAt, response)
+		missing := no.stateFor(response)
+		if missing.Servers == nil {
+			return nil
+		}
+		_, err = no.call(ctx, conn, missing)
+		return errors.Trace(err)
+	})
 }
 
-// exchangeOn runs an exchange on a connection and closes it.
-func (no *Node) exchangeOn(ctx context.Context, metered *meteredConn) error {
-	conn := jsonrpc2.NewConn(ctx, metered.objectStream(), jsonrpc2.HandlerWithError(no.handle))
-	defer func() { _ = conn.Close() }()
-	sentAt := no.clock.Now()
-	response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{Version: maxVersion, ListRevision: maxVersion}}))
+// withConn opens a connection to a host, makes calls on it and closes it. It returns what
+// was transferred.
+func (no *Node) withConn(ctx context.Context, remote Address, calls func(*jsonrpc2.Conn) error) (Traffic, error) {
+	dialing, cancel := context.WithTimeout(ctx, stallTimeout)
+	defer cancel()
+	nc, err := no.dial(dialing, remote)
 	if err != nil {
-		return errors.Trace(err)
-	}
-	no.mergeState(sentAt, response)
-	missing := no.stateFor(response)
-	if missing.Configuration == nil && missing.Servers == nil {
-		return nil
+		return Traffic{}, errors.Trace(err)
 	}
-	_, err = no.call(ctx, conn, missing)
-	return errors.Trace(err)
+	pc := newPeerConn(nc, stallTimeout)
+	conn := no.newRPCConn(ctx, pc)
+	defer func() { _ = conn.Close() }()
+	err = calls(conn)
+	return pc.traffic(), errors.Trace(err)
 }
 
-// maxVersion stands in for the unknown versions of a remote host, so that the
+// maxRevision stands in for the unknown revision of a remote host, so that the
 // first message of an exchange carries only the digest and a sample of members.
-const maxVersion = 1<<63 - 1
+const maxRevision = 1<<63 - 1
 
 func (no *Node) call(ctx context.Context, conn *jsonrpc2.Conn, local State) (State, error) {
 	var response State
