gateway, backend: the log tells whether a server that broke off has ended, and the prompt's segments

To tell a prompt that crashes engines from a cascade and from reset connections: server_inspected after each attempt that its server broke off, from a bounded queue that never holds a request; the connection, if accepted, is kept for later requests.

Ruled out: a cascade, reset connections. No logic is changed.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -97,6 +98,27 @@
 	return newConn(nc, address), nil
 }
 
+// Probe opens a connection to a server and keeps it for later requests. It returns an
+// error if the server does not accept it; one that has ended refuses it.
+func (po *Pool) Probe(ctx context.Context, address string) error {
+	co, err := po.Get(ctx, address, 0)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	po.put(co, 0)
+	return nil
+}
+
+// IsBrokenOff reports whether an error of an exchange means that the server closed or
+// reset the connection before its response was complete.
+func IsBrokenOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// IsRefused reports whether an error of Get or Probe means that nothing listens at the
+// address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // take removes and returns the most recently used idle connection. It closes
 // those that can't be reused, and returns nil if none is left or the next one
 // has been idle for maxIdleAge or longer.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,6 +105,7 @@
 // attempt sends the request to a backend server and relays the response.
 func (ga *Gateway) attempt(ctx context.Context, re *request, ch placement.Choice) result {
 	firstEventSeen := false
+	started := ga.clock.Now()
 	res := ga.exchange(ctx, re, ch, &firstEventSeen)
 	if ctx.Err() != nil && res.outcome != placement.Succeeded {
 		res.outcome = placement.Cancelled
@@ -115,6 +116,12 @@
 	if res.mayHaveRun {
 		re.mayHaveRun = true
 	}
+	if segments := re.sharedSegments(); len(segments) > 0 && ctx.Err() == nil && backend.IsBrokenOff(res.err) {
+		ga.inspector.submit(brokenAttempt{
+			request: re.headers.ID, server: ch.Server, segments: segments,
+			startedAt: started, endedAt: ga.clock.Now(),
+		})
+	}
 	return res
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,6 +36,7 @@
 	view         *follow.View
 	follower     *follow.Follower
 	backends     *backend.Pool
+	inspector    *inspector
 	counters     *counters
 	droppedLines func() int64 // number of dropped log lines
 
@@ -145,6 +146,9 @@
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
+	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends)
+	ga.inspector = inspector
+	ga.addCleanup(stopInspector)
 	store, closeStore := platform.NewStore(ga.settings.StoreAddress, platform.WithStallTimeout(follow.StallTimeout))
 	ga.addCleanup(closeStore)
 	follower, stopFollower := follow.New(store, ga.view,
