--- /dev/null
+++ b/gateway/crash_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+const (
+	commonSegment  = "a1:300"
+	crashSegment   = "dead:200"
+	restartTime    = 300 * time.Millisecond
+	crashedServers = 4
+)
+
+// crashPlay is a set of engines that crash under one segment of a prompt.
+type crashPlay struct {
+	*fixture
+	servers  []*fakeserver.Server
+	crashes  atomic.Int64
+	requests int
+}
+
+func newCrashPlay(t *testing.T) *crashPlay {
+	cp := &crashPlay{}
+	for range crashedServers {
+		var se *fakeserver.Server
+		started := make(chan struct{})
+		se = startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			<-started
+			if strings.Contains(rq.Header.Get("Prompt-Prefix"), crashSegment) {
+				cp.crashes.Add(1)
+				se.Crash()
+				time.AfterFunc(restartTime, func() { _ = se.Restart() })
+				return false
+			}
+			co.BeginStream(rq)
+			co.WriteEvent(1)
+			co.EndStream()
+			return true
+		})
+		close(started)
+		cp.servers = append(cp.servers, se)
+	}
+	cp.fixture = newFixture(t, nil, cp.servers)
+	return cp
+}
+
+// ask sends a request whose prompt has the segments and one of its own.
+func (cp *crashPlay) ask(segments ...string) clientResponse {
+	cp.requests++
+	prompt := append(segments, fmt.Sprintf("%x:50", 0xf000+cp.requests))
+	return cp.post(resumablePath, fmt.Sprint("r-", cp.requests), "prompt", "Prompt-Prefix: "+strings.Join(prompt, ","), "Token-Usage: 550,10")
+}
+
+// TestPromptSegmentThatCrashesServersIsQuarantined guards against requests with one
+// segment in their prompts that go on crashing server after server, and against sound
+// requests that are refused because they share another segment with them.
+func TestPromptSegmentThatCrashesServersIsQuarantined(t *testing.T) {
+	cp := newCrashPlay(t)
+	for range 12 {
+		cp.ask(commonSegment, crashSegment)
+		time.Sleep(restartTime) // at least one server is back
+		require.Equal(t, http.StatusOK, cp.ask(commonSegment, "b2:200").status)
+	}
+	crashes := cp.crashes.Load()
+	require.LessOrEqual(t, crashes, int64(8), "five and three more")
+	for range 4 {
+		got := cp.ask(commonSegment, crashSegment)
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Equal(t, http.StatusOK, cp.ask(commonSegment, "b2:200").status)
+	}
+	require.Equal(t, crashes, cp.crashes.Load())
+}
