quarantine, gateway, peer: prompts with a segment that crashes servers are kept from them

Cause: each broken attempt was judged by its server alone. The next request with the segment went to the next server, and a broken one to a second server at once. Class: a failure is put down to the server where the request is the cause, and each host knows only what it saw itself. Evidence: three segments are in a broken attempt of each of the 32 to 36 servers, and every one of 986 servers that were checked had ended.

Change: quarantine, pure, decides from crashes and answers. A segment is guilty after three crashes of attempts that began one after the other, a second after the first, if no server went on writing an answer with it since the first one while answers to others went on. Of segments that always came together all must be in a request. Hosts tell each other crashes, answers and findings with the load updates, at most 12 segments, so that it takes the same crashes whatever the number of hosts. Refused requests get 503 with the time left; a broken request isn't repeated once two servers crashed under its segments. Weighed: counting crashes by segment (a sound one is in those of up to 22 servers), and a finding by one host alone (195 hosts would see one request each).

--- a/errors.go
+++ b/errors.go
@@ -41,6 +41,8 @@
 	KindFirstTokenLate
 	// KindNoBackend means that no backend server is available or could be reached.
 	KindNoBackend
+	// KindQuarantined means that the prompt has a segment that crashes backend servers.
+	KindQuarantined
 	// KindStopping means that the host is about to stop.
 	KindStopping
 	// KindNotConfigured means that the host has no configuration yet.
@@ -102,6 +104,7 @@
 	KindWaitExpired:      {Code: "wait_expired", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 2 * time.Second},
 	KindFirstTokenLate:   {Code: "first_token_late", Type: typeServer, Status: http.StatusServiceUnavailable, Retryable: true, RetryAfter: 2 * time.Second},
 	KindNoBackend:        {Code: "no_backend", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 5 * time.Second},
+	KindQuarantined:      {Code: "prompt_quarantined", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: 5 * time.Minute},
 	KindStopping:         {Code: "stopping", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
 	KindNotConfigured:    {Code: "not_configured", Type: typeServer, Status: http.StatusServiceUnavailable, NotRun: true, Retryable: true, RetryAfter: time.Second},
 	KindBackendFailed:    {Code: "backend_failed", Type: typeServer, Status: http.StatusBadGateway, Retryable: true},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,9 +116,9 @@
 	if res.mayHaveRun {
 		re.mayHaveRun = true
 	}
-	if segments := re.sharedSegments(); len(segments) > 0 && ctx.Err() == nil && backend.IsBrokenOff(res.err) {
+	if len(re.segments) > 0 && ctx.Err() == nil && backend.IsBrokenOff(res.err) {
 		ga.inspector.submit(brokenAttempt{
-			request: re.headers.ID, server: ch.Server, segments: segments,
+			request: re.headers.ID, server: ch.Server, segments: re.segments,
 			startedAt: started, endedAt: ga.clock.Now(),
 		})
 	}
@@ -253,6 +253,7 @@
 		return ga.relayUnbuffered(re, ch, ex, body)
 	}
 	recordFirstEvent()
+	ga.recordProgress(re, &answerProgress{}, true)
 	response := &bufferedResponse{
 		status: ex.Response.StatusCode,
 		header: platform.StripHopByHop(ex.Response.Header),
@@ -317,6 +318,8 @@
 		return mp.NewError(mp.KindCallerGone, "the caller disconnected")
 	case res.mayHaveRun && !re.repeatable():
 		return mp.NewError(mp.KindOutcomeUnknown, "%v", res.err)
+	case backend.IsBrokenOff(res.err) && ga.isSuspected(re):
+		return mp.NewError(mp.KindBackendFailed, "servers crash under such prompts: %v", res.err)
 	case re.attempts >= re.route.MaxAttempts && (res.mayHaveRun || res.outcome == placement.Rejected):
 		return mp.NewError(mp.KindOverloaded, "%d attempts: %v", re.attempts, res.err)
 	case len(re.tried) >= maxServersTried:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/mangopaddle/mangopaddle/peer"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/retry"
 )
 
@@ -54,6 +55,9 @@
 	pendingSettings Settings
 	lastReloadError string
 
+	quarantineMu sync.Mutex
+	quarantine   *quarantine.List
+
 	budgetMu     sync.Mutex
 	retryBudgets map[mp.ServiceName]*retry.WindowBudget
 	retrySlack   *retry.SharedSlack
@@ -115,6 +119,7 @@
 		view:           follow.NewView(),
 		droppedLines:   func() int64 { return 0 },
 		loadTable:      peer.NewLoadTable(settings.Host, settings.DataCentre),
+		quarantine:     quarantine.New(),
 		retryBudgets:   map[mp.ServiceName]*retry.WindowBudget{},
 		retrySlack:     retry.NewSharedSlack(settings.RetrySlack, len(settings.Regions)),
 		peerDialer:     func(*peer.Node) {},
@@ -146,7 +151,7 @@
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
-	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends)
+	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends, ga.recordCrash)
 	ga.inspector = inspector
 	ga.addCleanup(stopInspector)
 	store, closeStore := platform.NewStore(ga.settings.StoreAddress, platform.WithStallTimeout(follow.StallTimeout))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -76,7 +76,7 @@
 	}
 	re.route = route
 	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
-	re.headers = headers
+	re.headers, re.segments = headers, sharedSegments(headers)
 	if !route.Public && table.RequiresAPIKey() {
 		organisation, ok := table.OrganisationByAPIKey(headers.APIKey)
 		if !ok {
@@ -168,6 +168,10 @@
 func (ga *Gateway) dispatch(ctx context.Context, re *request) {
 	ga.creditRetryBudget(re)
 	for {
+		if err := ga.quarantineRefusal(re); err != nil {
+			ga.fail(ctx, re, err)
+			return
+		}
 		ch, err := ga.selectServer(re)
 		if err != nil {
 			ga.fail(ctx, re, err)
--- a/gateway/inspect.go
+++ b/gateway/inspect.go
@@ -12,6 +12,7 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/placement"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 )
 
 const (
@@ -27,7 +28,7 @@
 type brokenAttempt struct {
 	request  mp.RequestID
 	server   placement.Server
-	segments []uint64 // of the prompt, which other requests may share
+	segments []quarantine.Segment // of the prompt, which other requests may share
 	// startedAt and endedAt are the times of the attempt.
 	startedAt, endedAt time.Time
 }
@@ -39,11 +40,16 @@
 	logger   zerolog.Logger
 	backends *backend.Pool
 	pending  chan brokenAttempt
+	onCrash  func(brokenAttempt)
 }
 
-// newInspector starts an inspector and returns it with a function that stops it.
-func newInspector(clock clockwork.Clock, logger zerolog.Logger, backends *backend.Pool) (*inspector, func()) {
-	in := &inspector{clock: clock, logger: logger, backends: backends, pending: make(chan brokenAttempt, maxPendingInspections)}
+// newInspector starts an inspector and returns it with a function that stops it. It calls
+// onCrash with each attempt whose server has ended.
+func newInspector(clock clockwork.Clock, logger zerolog.Logger, backends *backend.Pool, onCrash func(brokenAttempt)) (*inspector, func()) {
+	in := &inspector{
+		clock: clock, logger: logger, backends: backends, onCrash: onCrash,
+		pending: make(chan brokenAttempt, maxPendingInspections),
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	for range inspectors {
@@ -79,30 +85,19 @@
 	ctx, cancel := context.WithTimeout(ctx, inspectionTimeout)
 	defer cancel()
 	err := in.backends.Probe(ctx, at.server.Address)
+	if backend.IsRefused(err) {
+		in.onCrash(at)
+	}
 	in.logger.Info().Str("event", "server_inspected").Str("request", string(at.request)).Str("server", string(at.server.ID)).
 		Strs("segments", formatSegments(at.segments)).Bool("ended", backend.IsRefused(err)).
 		Dur("age_ms", in.clock.Since(at.endedAt)).AnErr("cause", err).Msg("checked a server that broke off an attempt")
 }
 
 // formatSegments returns the identifiers of prompt segments for the log.
-func formatSegments(segments []uint64) []string {
+func formatSegments(segments []quarantine.Segment) []string {
 	texts := make([]string, len(segments))
 	for ix, segment := range segments {
-		texts[ix] = fmt.Sprintf("%x", segment)
+		texts[ix] = fmt.Sprintf("%x", uint64(segment))
 	}
 	return texts
 }
-
-// sharedSegments returns the prompt segments of a request that others may share: all but
-// the last.
-func (re *request) sharedSegments() []uint64 {
-	prompt := re.headers.PromptSegments
-	if len(prompt) < 2 {
-		return nil
-	}
-	segments := make([]uint64, 0, len(prompt)-1)
-	for _, segment := range prompt[:len(prompt)-1] {
-		segments = append(segments, segment.ID)
-	}
-	return segments
-}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -122,6 +122,7 @@
 	ga.loadTable.Add(now, update)
 	ga.placerMu.Unlock()
 	ga.peers.MarkSeen(update.From)
+	ga.mergeSuspects(now, update.Host, update.Suspects)
 	if update.Aggregate && !ga.sharesReads {
 		return
 	}
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/quarantine"
+)
+
+// minAnswerTime is how long a server must have gone on writing an answer to show that
+// the prompt doesn't crash it.
+const minAnswerTime = 300 * time.Millisecond
+
+// sharedSegments returns the segments of a prompt that other requests may share: all but
+// the last.
+func sharedSegments(headers platform.RequestHeaders) []quarantine.Segment {
+	prompt := headers.PromptSegments
+	if len(prompt) < 2 {
+		return nil
+	}
+	segments := make([]quarantine.Segment, 0, len(prompt)-1)
+	for _, segment := range prompt[:len(prompt)-1] {
+		segments = append(segments, quarantine.Segment(segment.ID))
+	}
+	return segments
+}
+
+// answerProgress is how far the answer of an attempt has come.
+type answerProgress struct {
+	beganAt  time.Time // zero until the first event
+	recorded bool
+}
+
+// recordProgress records that a server has written a part of an answer. Once it has done
+// so for minAnswerTime, or the answer is complete, the prompt is known to be sound.
+func (ga *Gateway) recordProgress(re *request, progress *answerProgress, complete bool) {
+	if len(re.segments) == 0 || progress.recorded {
+		return
+	}
+	now := ga.clock.Now()
+	if progress.beganAt.IsZero() {
+		progress.beganAt = now
+	}
+	if !complete && now.Sub(progress.beganAt) < minAnswerTime {
+		return
+	}
+	progress.recorded = true
+	ga.quarantineMu.Lock()
+	defer ga.quarantineMu.Unlock()
+	ga.quarantine.RecordAnswer(re.segments, progress.beganAt)
+}
+
+// recordCrash records an attempt whose server has ended.
+func (ga *Gateway) recordCrash(at brokenAttempt) {
+	ga.quarantineMu.Lock()
+	defer ga.quarantineMu.Unlock()
+	ga.quarantine.RecordCrash(ga.clock.Now(), at.segments, quarantine.Crash{Server: at.server.ID, StartedAt: at.startedAt, EndedAt: at.endedAt})
+}
+
+// quarantineRefusal returns the reason not to send a request to any server because of its
+// prompt, or nil.
+func (ga *Gateway) quarantineRefusal(re *request) *mp.Error {
+	if len(re.segments) == 0 {
+		return nil
+	}
+	now := ga.clock.Now()
+	ga.quarantineMu.Lock()
+	segment, until, blocked := ga.quarantine.Blocked(now, re.segments)
+	ga.quarantineMu.Unlock()
+	if !blocked {
+		return nil
+	}
+	refusal := mp.NewError(mp.KindQuarantined, "segment %x of the prompt crashes servers", uint64(segment))
+	refusal.RetryAfter = until.Sub(now)
+	return refusal
+}
+
+// isSuspected reports whether a request should not be repeated because servers crashed
+// under a segment of its prompt one after the other.
+func (ga *Gateway) isSuspected(re *request) bool {
+	ga.quarantineMu.Lock()
+	defer ga.quarantineMu.Unlock()
+	return ga.quarantine.Suspected(re.segments)
+}
+
+// suspectCount returns the number of segments that are suspected or in quarantine.
+func (ga *Gateway) suspectCount() int {
+	ga.quarantineMu.Lock()
+	defer ga.quarantineMu.Unlock()
+	return ga.quarantine.Len()
+}
+
+// Suspects implements peer.LoadDelegate. The broadcaster calls it in each round, so it
+// also judges what has been seen since the last one.
+func (ga *Gateway) Suspects() []quarantine.Report {
+	now := ga.clock.Now()
+	ga.quarantineMu.Lock()
+	findings := ga.quarantine.Judge(now)
+	reports := ga.quarantine.Reports(now)
+	ga.quarantineMu.Unlock()
+	ga.logFindings(findings, "own")
+	return reports
+}
+
+// mergeSuspects adds what another host reported.
+func (ga *Gateway) mergeSuspects(now time.Time, from mp.HostID, reports []quarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	ga.quarantineMu.Lock()
+	findings := ga.quarantine.Merge(now, reports)
+	ga.quarantineMu.Unlock()
+	ga.logFindings(findings, string(from))
+}
+
+// logFindings logs segments that were put in quarantine, by this host's own judgement or
+// another host's.
+func (ga *Gateway) logFindings(findings []quarantine.Finding, source string) {
+	for _, fi := range findings {
+		servers := make([]string, len(fi.Crashes))
+		for ix, cr := range fi.Crashes {
+			servers[ix] = string(cr.Server)
+		}
+		ga.logger.Warn().Str("event", "segment_quarantined").Strs("segment", formatSegments([]quarantine.Segment{fi.Segment})).
+			Strs("companions", formatSegments(fi.Companions)).Strs("servers", servers).Str("source", source).
+			Dur("left_ms", fi.Until.Sub(ga.clock.Now())).Msg("prompts with a segment that crashes servers are refused")
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/routing"
 )
 
@@ -26,7 +27,8 @@
 	route         *routing.Route
 	organisation  *routing.Organisation // nil if the route is public or no keys are configured
 	service       mp.ServiceName
-	rank          routing.Rank // its Order is sent to engines; placement uses its Priority
+	rank          routing.Rank         // its Order is sent to engines; placement uses its Priority
+	segments      []quarantine.Segment // of the prompt, which other requests may share
 	body          []byte
 	forwardHeader http.Header // header for backend servers, without the fields that differ per attempt
 	// deadline is the earlier of the caller's and the route's deadline; zero for
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,6 +65,7 @@
 func (ga *Gateway) relayStream(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	pending := make([]byte, 0, streamBufferBytes)
 	chunk := make([]byte, streamBufferBytes)
+	progress := &answerProgress{}
 	re.setStreamIdleDeadline(ex)
 	for {
 		count, err := ex.Response.Body.Read(chunk)
@@ -76,12 +77,14 @@
 			}
 			if relayed > 0 {
 				recordFirstEvent()
+				ga.recordProgress(re, progress, false)
 				pending = append(pending[:0], pending[relayed:]...)
 				re.setStreamIdleDeadline(ex)
 			}
 		}
 		switch {
 		case err == io.EOF:
+			ga.recordProgress(re, progress, !progress.beganAt.IsZero() && endsWithEvent(pending))
 			return ga.finishStream(re, ch, ex, pending, headers.IdleTimeout)
 		case err != nil:
 			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "stream")}
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 )
 
 const (
@@ -47,6 +48,8 @@
 	// DataCentreLoads returns the loads of all hosts of the data centre; false if
 	// another host sends them to the other data centres.
 	DataCentreLoads() (map[mp.ServerID]Load, bool)
+	// Suspects returns what other hosts should know of prompts that crash servers.
+	Suspects() []quarantine.Report
 	// ReceiveLoads takes the update of another host. The broadcaster calls it on
 	// its receiving goroutine.
 	ReceiveLoads(update LoadUpdate)
@@ -161,6 +164,9 @@
 // or streams. A higher one can only be the result of a fault.
 const maxPlausibleLoad = 1 << 32
 
+// maxSuspectReports is the number of reports on prompts above which an update is refused.
+const maxSuspectReports = 64
+
 // decodeLoadUpdate decodes a datagram. It returns an error if the datagram can't be
 // decoded, names no sender or has a load that can't be.
 func decodeLoadUpdate(data []byte) (LoadUpdate, error) {
@@ -171,6 +177,14 @@
 	if update.Host == "" {
 		return LoadUpdate{}, errors.NotValidf("load update without a host")
 	}
+	if len(update.Suspects) > maxSuspectReports {
+		return LoadUpdate{}, errors.NotValidf("load update of host %q with %d suspects", update.Host, len(update.Suspects))
+	}
+	for _, re := range update.Suspects {
+		if err := re.Check(); err != nil {
+			return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
+		}
+	}
 	for id, load := range update.Loads {
 		if load.PrefillTokens < 0 || load.PrefillTokens > maxPlausibleLoad || load.Streams < 0 || load.Streams > maxPlausibleLoad {
 			return LoadUpdate{}, errors.NotValidf("load update of host %q with %d tokens and %d streams at server %q", update.Host, load.PrefillTokens, load.Streams, id)
@@ -211,8 +225,8 @@
 func (lb *LoadBroadcaster) send(round int, peers []Address) {
 	loads, digest := lb.delegate.LocalLoads(len(peers))
 	lb.sequence++
-	update := LoadUpdate{From: lb.self, Host: lb.host, Sequence: lb.sequence, Digest: digest, Loads: loads}
-	if len(loads) > 0 || round%idleUpdateRounds == 0 {
+	update := LoadUpdate{From: lb.self, Host: lb.host, Sequence: lb.sequence, Digest: digest, Loads: loads, Suspects: lb.delegate.Suspects()}
+	if len(loads) > 0 || len(update.Suspects) > 0 || round%idleUpdateRounds == 0 {
 		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -4,6 +4,7 @@
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 )
 
 // Load is the outstanding load of one or more hosts at a backend server.
@@ -38,6 +39,8 @@
 	Relay bool `json:"direct,omitempty"`
 	Digest
 	Loads map[mp.ServerID]Load `json:"loads,omitempty"`
+	// Suspects are the segments of prompts under which servers crashed.
+	Suspects []quarantine.Report `json:"suspects,omitempty"`
 }
 
 const (
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -15,6 +15,7 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/peer"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/testkit"
 )
 
@@ -37,6 +38,8 @@
 }
 func (rd *recordingDelegate) DataCentreLoads() (map[mp.ServerID]peer.Load, bool) { return nil, false }
 
+func (rd *recordingDelegate) Suspects() []quarantine.Report { return nil }
+
 func (rd *recordingDelegate) ReceiveLoads(update peer.LoadUpdate) {
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
@@ -65,6 +68,9 @@
 		`{"host":"h","loads":{"e":{"streams":-1}}}`,
 		`{"host":"h","loads":{"e":{"unread":9000000000000000000}}}`,
 		`{"host":"h","sequence":-1}`,
+		`{"host":"h","suspects":[{"segment":1,"findings":-1}]}`,
+		`{"host":"h","suspects":[{"segment":1,"quarantine_left":"9000h"}]}`,
+		`{"host":"h","suspects":[{"segment":1,"crashes":[{"server":"s","started_age":"1s","ended_age":"2s"}]}]}`,
 	} {
 		_, err := io.WriteString(nc, datagram)
 		require.NoError(t, err)
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,353 @@
+// Package quarantine finds segments of prompts that crash the servers they are sent to,
+// and says which requests to keep from them.
+//
+// A crash alone blames all segments of all requests that were in progress. A segment is
+// found guilty when servers crashed under it one after the other, and since the first
+// crash none has gone on writing an answer to a request with it, while answers to others
+// went on: if none do, the servers are in trouble of another kind. Hosts tell each other
+// what they know, so that the finding takes the same number of crashes whatever the number
+// of hosts.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+const (
+	// minCrashes is the number of crashes, each of an attempt that began after the one
+	// before, that a finding needs.
+	minCrashes = 3
+	// minObservation is the time from the first crash to a finding. In it, answers to
+	// sound requests become known to all hosts.
+	minObservation = time.Second
+	// minOtherAnswers is the number of answers to other requests that must have begun
+	// since the first crash.
+	minOtherAnswers = 3
+	// firstQuarantine is how long a segment is kept from servers. It doubles with each
+	// further finding up to maxQuarantine: in the meantime the servers may have been
+	// mended.
+	firstQuarantine = 5 * time.Minute
+	maxQuarantine   = time.Hour
+	// memory is how long a segment is remembered after its last crash or quarantine.
+	memory = 2 * time.Minute
+	// maxSuspects, maxCrashes and maxAnswers bound what is remembered.
+	maxSuspects = 256
+	maxCrashes  = 8
+	maxAnswers  = 64
+	// sameCrash is the difference between two reports of one crash of a server.
+	sameCrash = time.Second
+)
+
+// Segment identifies a segment of a prompt that several requests may share.
+type Segment uint64
+
+// Crash is an attempt during which its server crashed.
+type Crash struct {
+	Server mp.ServerID
+	// StartedAt and EndedAt are the times of the attempt.
+	StartedAt, EndedAt time.Time
+}
+
+// suspect is what is known of a segment under which a server crashed.
+type suspect struct {
+	// crashes are ordered by their ends.
+	crashes []Crash
+	// companions are the other segments that all broken attempts had.
+	companions []Segment
+	// clearedAt is when a server last began an answer and went on writing it.
+	clearedAt time.Time
+	// until is the end of the quarantine, and findings the number of quarantines so far.
+	until    time.Time
+	findings int
+}
+
+// Finding is a segment that was put in quarantine.
+type Finding struct {
+	Segment    Segment
+	Crashes    []Crash
+	Companions []Segment
+	Until      time.Time
+}
+
+// List holds the segments that are suspected or in quarantine. It does no I/O and is not
+// safe for concurrent use.
+type List struct {
+	suspects map[Segment]*suspect
+	// answers are the latest answers of this host's requests, the latest last.
+	answers []answer
+}
+
+// answer is an answer that a server began at a time and has gone on writing.
+type answer struct {
+	segments []Segment
+	beganAt  time.Time
+}
+
+// New returns an empty list.
+func New() *List { return &List{suspects: map[Segment]*suspect{}} }
+
+// Len returns the number of segments that are remembered.
+func (li *List) Len() int { return len(li.suspects) }
+
+// RecordCrash records that a server crashed during an attempt on a request with the
+// segments.
+func (li *List) RecordCrash(now time.Time, segments []Segment, crash Crash) {
+	for _, segment := range segments {
+		if li.isExplained(now, segment, crash) {
+			continue
+		}
+		companions := slices.DeleteFunc(slices.Clone(segments), func(other Segment) bool { return other == segment })
+		li.add(now, segment, crash, companions)
+	}
+}
+
+// add records a crash against a segment, with the other segments of the request. Answers
+// that began after it may be known already: word of a crash takes a while.
+func (li *List) add(now time.Time, segment Segment, crash Crash, companions []Segment) {
+	su := li.suspect(now, segment)
+	su.add(crash, companions)
+	for _, an := range li.answers {
+		if slices.Contains(an.segments, segment) {
+			su.clear(an.beganAt)
+		}
+	}
+}
+
+// isExplained reports whether a crash is one of those for which another segment, which
+// doesn't always come with this one, is in quarantine.
+func (li *List) isExplained(now time.Time, segment Segment, crash Crash) bool {
+	for guilty, su := range li.suspects {
+		if guilty != segment && now.Before(su.until) && !slices.Contains(su.companions, segment) && containsCrash(su.crashes, crash) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspect returns the state of a segment, and makes room for it if it is new.
+func (li *List) suspect(now time.Time, segment Segment) *suspect {
+	su, ok := li.suspects[segment]
+	if !ok {
+		li.forget(now)
+		su = &suspect{}
+		li.suspects[segment] = su
+	}
+	return su
+}
+
+// RecordAnswer records that a server began an answer to a request with the segments at a
+// time, and has gone on writing it: the segments don't crash servers.
+func (li *List) RecordAnswer(segments []Segment, beganAt time.Time) {
+	if len(li.answers) == maxAnswers {
+		li.answers = slices.Delete(li.answers, 0, 1)
+	}
+	li.answers = append(li.answers, answer{segments: segments, beganAt: beganAt})
+	for _, segment := range segments {
+		if su, ok := li.suspects[segment]; ok {
+			su.clear(beganAt)
+		}
+	}
+}
+
+// Judge puts segments in quarantine for which there is enough evidence, forgets old
+// evidence, and returns the new findings.
+func (li *List) Judge(now time.Time) []Finding {
+	var findings []Finding
+	for segment, su := range li.suspects {
+		if su.isGuilty(now) && li.othersAnswered(su.consecutive()[0].EndedAt) {
+			su.quarantine(now)
+			findings = append(findings, Finding{Segment: segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until})
+		}
+	}
+	for _, fi := range findings {
+		li.explain(fi)
+	}
+	li.forget(now)
+	return findings
+}
+
+// othersAnswered reports whether enough answers have begun since a time. Those to requests
+// with a suspected segment would have cleared it.
+func (li *List) othersAnswered(since time.Time) bool {
+	count := 0
+	for _, an := range li.answers {
+		if an.beganAt.After(since) {
+			count++
+		}
+	}
+	return count >= minOtherAnswers
+}
+
+// explain drops the crashes that a finding explains from the evidence against segments
+// that were not in all of the finding's requests.
+func (li *List) explain(fi Finding) {
+	for segment, su := range li.suspects {
+		if segment != fi.Segment && !slices.Contains(fi.Companions, segment) {
+			su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return containsCrash(fi.Crashes, cr) })
+		}
+	}
+}
+
+// Blocked returns the segment in quarantine for which a request with the segments must
+// not be sent to a server, and the end of the quarantine. It returns false if there is
+// none. Of segments that were always together, all must be in the request: only one of
+// them may be guilty, and the others are in sound requests too.
+func (li *List) Blocked(now time.Time, segments []Segment) (Segment, time.Time, bool) {
+	for _, segment := range segments {
+		su, ok := li.suspects[segment]
+		if ok && now.Before(su.until) && li.containsCompanions(now, su, segments) {
+			return segment, su.until, true
+		}
+	}
+	return 0, time.Time{}, false
+}
+
+// containsCompanions reports whether a request has all companions of a suspect that are
+// in quarantine too.
+func (li *List) containsCompanions(now time.Time, su *suspect, segments []Segment) bool {
+	for _, companion := range su.companions {
+		other, ok := li.suspects[companion]
+		if ok && now.Before(other.until) && !slices.Contains(segments, companion) {
+			return false
+		}
+	}
+	return true
+}
+
+// Suspected reports whether servers have crashed one after the other under one of the
+// segments and none has answered since: a broken attempt should not be repeated.
+func (li *List) Suspected(segments []Segment) bool {
+	return slices.ContainsFunc(segments, func(segment Segment) bool {
+		su, ok := li.suspects[segment]
+		return ok && len(su.consecutive()) > 1
+	})
+}
+
+// forget removes segments without recent evidence and, if there are still too many, those
+// with the oldest.
+func (li *List) forget(now time.Time) {
+	for segment, su := range li.suspects {
+		if now.Sub(su.lastAt()) > memory {
+			delete(li.suspects, segment)
+		}
+	}
+	for len(li.suspects) >= maxSuspects {
+		delete(li.suspects, li.oldest())
+	}
+}
+
+// oldest returns the segment whose last evidence is the oldest.
+func (li *List) oldest() Segment {
+	var oldest Segment
+	var oldestAt time.Time
+	for segment, su := range li.suspects {
+		at := su.lastAt()
+		if oldestAt.IsZero() || at.Before(oldestAt) || (at.Equal(oldestAt) && segment < oldest) {
+			oldest, oldestAt = segment, at
+		}
+	}
+	return oldest
+}
+
+// add records a crash with the other segments of the request.
+func (su *suspect) add(crash Crash, companions []Segment) {
+	if !crash.EndedAt.After(su.clearedAt) {
+		return
+	}
+	if len(su.crashes) == 0 {
+		su.companions = companions
+	} else {
+		su.companions = intersection(su.companions, companions)
+	}
+	su.insert(crash)
+}
+
+// insert adds a crash that isn't known yet in the order of time. Of too many it keeps the
+// first ones.
+func (su *suspect) insert(crash Crash) {
+	if containsCrash(su.crashes, crash) {
+		return
+	}
+	su.crashes = append(su.crashes, crash)
+	slices.SortFunc(su.crashes, func(one, two Crash) int { return one.EndedAt.Compare(two.EndedAt) })
+	su.crashes = su.crashes[:min(len(su.crashes), maxCrashes)]
+}
+
+// clear drops the evidence from before an answer began, and ends a quarantine if the
+// answer began after the first crash.
+func (su *suspect) clear(beganAt time.Time) {
+	if !beganAt.After(su.clearedAt) || (len(su.crashes) > 0 && beganAt.Before(su.crashes[0].EndedAt)) {
+		return
+	}
+	su.clearedAt, su.until, su.findings = beganAt, time.Time{}, 0
+	su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return !cr.EndedAt.After(beganAt) })
+}
+
+// evidence returns the crashes since the last quarantine.
+func (su *suspect) evidence() []Crash {
+	for ix, cr := range su.crashes {
+		if cr.EndedAt.After(su.until) {
+			return su.crashes[ix:]
+		}
+	}
+	return nil
+}
+
+// consecutive returns the crashes of attempts that each began after the one before had
+// ended. Servers that crash at the same time say little about a segment that many
+// requests have.
+func (su *suspect) consecutive() []Crash {
+	var chain []Crash
+	for _, cr := range su.evidence() {
+		if len(chain) == 0 || cr.StartedAt.After(chain[len(chain)-1].EndedAt) {
+			chain = append(chain, cr)
+		}
+	}
+	return chain
+}
+
+// isGuilty reports whether the evidence suffices for a quarantine. After an earlier one
+// the first crash does.
+func (su *suspect) isGuilty(now time.Time) bool {
+	if now.Before(su.until) {
+		return false
+	}
+	chain := su.consecutive()
+	if len(chain) == 0 || now.Sub(chain[0].EndedAt) < minObservation {
+		return false
+	}
+	return su.findings > 0 || len(chain) >= minCrashes
+}
+
+// quarantine starts a quarantine.
+func (su *suspect) quarantine(now time.Time) {
+	su.until = now.Add(min(firstQuarantine<<su.findings, maxQuarantine))
+	su.findings++
+}
+
+// lastAt returns the time of the last evidence or the end of the quarantine.
+func (su *suspect) lastAt() time.Time {
+	last := su.clearedAt
+	if count := len(su.crashes); count > 0 && su.crashes[count-1].EndedAt.After(last) {
+		last = su.crashes[count-1].EndedAt
+	}
+	if su.until.After(last) {
+		last = su.until
+	}
+	return last
+}
+
+// containsCrash reports whether a crash is among others, which another host may have
+// recorded with slightly different times.
+func containsCrash(crashes []Crash, crash Crash) bool {
+	return slices.ContainsFunc(crashes, func(other Crash) bool {
+		return other.Server == crash.Server && other.EndedAt.Sub(crash.EndedAt).Abs() < sameCrash
+	})
+}
+
+func intersection(one, two []Segment) []Segment {
+	return slices.DeleteFunc(slices.Clone(one), func(segment Segment) bool { return !slices.Contains(two, segment) })
+}
--- /dev/null
+++ b/quarantine/report.go
@@ -0,0 +1,157 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	mp "github.com/mangopaddle/mangopaddle"
+)
+
+const (
+	// maxReports is the number of segments that a host tells others of at once.
+	maxReports = 12
+	// clearedReportTime is how long a host tells others that a segment is sound. For as
+	// long, it doesn't believe those that still have the segment in quarantine.
+	clearedReportTime = 5 * time.Second
+)
+
+// CrashReport is a crash in a report. Ages are relative to the time at which it was sent.
+type CrashReport struct {
+	Server     mp.ServerID `json:"server"`
+	StartedAge mp.Duration `json:"started_age"`
+	EndedAge   mp.Duration `json:"ended_age"`
+}
+
+// Report is what a host tells others of one segment.
+type Report struct {
+	Segment    Segment       `json:"segment"`
+	Crashes    []CrashReport `json:"crashes,omitempty"`
+	Companions []Segment     `json:"companions,omitempty"`
+	// ClearedAge is the time since a server began an answer that has gone on; zero for
+	// none.
+	ClearedAge mp.Duration `json:"cleared_age,omitempty"`
+	// Left is the time until the end of the quarantine; zero for none. Findings is the
+	// number of quarantines so far.
+	Left     mp.Duration `json:"quarantine_left,omitempty"`
+	Findings int         `json:"findings,omitempty"`
+}
+
+// Check returns an error if the report has values that can't be.
+func (re Report) Check() error {
+	if len(re.Crashes) > maxCrashes || len(re.Companions) > maxSuspects || re.Findings < 0 {
+		return errors.NotValidf("report on segment %x with %d crashes, %d companions, %d findings", uint64(re.Segment), len(re.Crashes), len(re.Companions), re.Findings)
+	}
+	if re.ClearedAge < 0 || re.Left < 0 || re.Left.Std() > maxQuarantine {
+		return errors.NotValidf("report on segment %x, cleared %v ago, in quarantine for %v", uint64(re.Segment), re.ClearedAge, re.Left)
+	}
+	for _, cr := range re.Crashes {
+		if cr.EndedAge < 0 || cr.StartedAge < cr.EndedAge {
+			return errors.NotValidf("report on segment %x with a crash from %v to %v ago", uint64(re.Segment), cr.StartedAge, cr.EndedAge)
+		}
+	}
+	return nil
+}
+
+// Reports returns what other hosts should know, the most urgent first and at most
+// maxReports.
+func (li *List) Reports(now time.Time) []Report {
+	var found []Segment
+	for segment, su := range li.suspects {
+		if su.urgency(now) > 0 {
+			found = append(found, segment)
+		}
+	}
+	slices.SortFunc(found, func(one, two Segment) int {
+		first, second := li.suspects[one], li.suspects[two]
+		return cmp.Or(cmp.Compare(second.urgency(now), first.urgency(now)), second.lastAt().Compare(first.lastAt()), cmp.Compare(one, two))
+	})
+	found = found[:min(len(found), maxReports)]
+	reports := make([]Report, 0, len(found))
+	for _, segment := range found {
+		reports = append(reports, li.suspects[segment].report(now, segment))
+	}
+	return reports
+}
+
+// urgency orders the segments that other hosts should know of: those in quarantine, those
+// under which servers crashed one after the other, those that have been found sound, and
+// single crashes. It is zero if there is nothing to tell.
+func (su *suspect) urgency(now time.Time) int {
+	chain := len(su.consecutive())
+	switch {
+	case now.Before(su.until):
+		return 4
+	case chain > 1:
+		return 3
+	case now.Sub(su.clearedAt) < clearedReportTime:
+		return 2
+	default:
+		return chain
+	}
+}
+
+func (su *suspect) report(now time.Time, segment Segment) Report {
+	re := Report{Segment: segment, Companions: su.companions, Findings: su.findings}
+	for _, cr := range su.reportedCrashes(now) {
+		re.Crashes = append(re.Crashes, CrashReport{
+			Server: cr.Server, StartedAge: mp.Duration(now.Sub(cr.StartedAt)), EndedAge: mp.Duration(now.Sub(cr.EndedAt)),
+		})
+	}
+	if !su.clearedAt.IsZero() {
+		re.ClearedAge = mp.Duration(max(now.Sub(su.clearedAt), 1))
+	}
+	if now.Before(su.until) {
+		re.Left = mp.Duration(su.until.Sub(now))
+	}
+	return re
+}
+
+// reportedCrashes returns the crashes that led to the quarantine or may lead to one.
+func (su *suspect) reportedCrashes(now time.Time) []Crash {
+	if now.Before(su.until) {
+		return su.crashes[:min(len(su.crashes), minCrashes)]
+	}
+	return su.consecutive()
+}
+
+// Merge adds what another host reported and returns the segments that are in quarantine
+// by that for the first time here.
+func (li *List) Merge(now time.Time, reports []Report) []Finding {
+	var findings []Finding
+	for _, re := range reports {
+		if li.merge(now, re) {
+			su := li.suspects[re.Segment]
+			findings = append(findings, Finding{Segment: re.Segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until})
+		}
+	}
+	for _, fi := range findings {
+		li.explain(fi)
+	}
+	return findings
+}
+
+// merge adds a report and reports whether it puts the segment in quarantine.
+func (li *List) merge(now time.Time, re Report) bool {
+	su := li.suspect(now, re.Segment)
+	for _, cr := range re.Crashes {
+		crash := Crash{Server: cr.Server, StartedAt: now.Add(-cr.StartedAge.Std()), EndedAt: now.Add(-cr.EndedAge.Std())}
+		if !li.isExplained(now, re.Segment, crash) {
+			li.add(now, re.Segment, crash, slices.Clone(re.Companions))
+		}
+	}
+	if re.ClearedAge > 0 {
+		su.clear(now.Add(-re.ClearedAge.Std()))
+	}
+	until := now.Add(re.Left.Std())
+	if re.Left == 0 || now.Before(su.until) || now.Sub(su.clearedAt) < clearedReportTime {
+		return false
+	}
+	if len(su.crashes) == 0 {
+		su.companions = slices.Clone(re.Companions)
+	}
+	su.until, su.findings = until, max(re.Findings, su.findings)
+	return true
+}
