quarantine: a crash speaks against the segment with the most crashes

Cause: crashes that one finding explains were dropped only from segments that weren't found yet, in the order in which hosts happened to judge. Change: segments are judged in the order of their crashes; a crash is explained by a segment in quarantine with at least as many; a finding ends the quarantine of a segment with fewer crashes, all of them its own. Ruled out: demanding two different requests (a popular segment has them).

TestSegmentBesideManyCrashesIsReleased plays the case.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -81,7 +81,7 @@
 func (ga *Gateway) isSuspected(re *request) bool {
 	ga.quarantineMu.Lock()
 	defer ga.quarantineMu.Unlock()
-	return ga.quarantine.Suspected(re.segments)
+	return ga.quarantine.Suspected(ga.clock.Now(), re.segments)
 }
 
 // suspectCount returns the number of segments that are suspected or in quarantine.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,6 +10,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -96,9 +98,6 @@
 // segments.
 func (li *List) RecordCrash(now time.Time, segments []Segment, crash Crash) {
 	for _, segment := range segments {
-		if li.isExplained(now, segment, crash) {
-			continue
-		}
 		companions := slices.DeleteFunc(slices.Clone(segments), func(other Segment) bool { return other == segment })
 		li.add(now, segment, crash, companions)
 	}
@@ -116,17 +115,6 @@
 	}
 }
 
-// isExplained reports whether a crash is one of those for which another segment, which
-// doesn't always come with this one, is in quarantine.
-func (li *List) isExplained(now time.Time, segment Segment, crash Crash) bool {
-	for guilty, su := range li.suspects {
-		if guilty != segment && now.Before(su.until) && !slices.Contains(su.companions, segment) && containsCrash(su.crashes, crash) {
-			return true
-		}
-	}
-	return false
-}
-
 // suspect returns the state of a segment, and makes room for it if it is new.
 func (li *List) suspect(now time.Time, segment Segment) *suspect {
 	su, ok := li.suspects[segment]
@@ -153,22 +141,88 @@
 }
 
 // Judge puts segments in quarantine for which there is enough evidence, forgets old
-// evidence, and returns the new findings.
+// evidence, and returns the new findings. The segment with the most crashes is judged
+// first, because these explain what speaks against others.
 func (li *List) Judge(now time.Time) []Finding {
 	var findings []Finding
-	for segment, su := range li.suspects {
-		if su.isGuilty(now) && li.othersAnswered(su.consecutive()[0].EndedAt) {
-			su.quarantine(now)
-			findings = append(findings, Finding{Segment: segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until})
+	for _, segment := range li.byCrashes() {
+		if !li.isGuilty(now, segment) {
+			continue
 		}
-	}
-	for _, fi := range findings {
-		li.explain(fi)
+		su := li.suspects[segment]
+		su.quarantine(now)
+		findings = append(findings, su.finding(segment))
+		li.lift(now, segment)
 	}
 	li.forget(now)
 	return findings
 }
 
+// byCrashes returns the segments, those with the most crashes first.
+func (li *List) byCrashes() []Segment {
+	segments := slices.Collect(maps.Keys(li.suspects))
+	slices.SortFunc(segments, func(one, two Segment) int {
+		return cmp.Or(cmp.Compare(len(li.suspects[two].crashes), len(li.suspects[one].crashes)), cmp.Compare(one, two))
+	})
+	return segments
+}
+
+// isGuilty reports whether the evidence suffices for a quarantine. After an earlier one
+// the first crash does.
+func (li *List) isGuilty(now time.Time, segment Segment) bool {
+	su := li.suspects[segment]
+	if now.Before(su.until) || len(su.crashes) == 0 {
+		return false
+	}
+	chain := li.consecutive(now, segment)
+	if len(chain) == 0 || now.Sub(chain[0].EndedAt) < minObservation || !li.othersAnswered(chain[0].EndedAt) {
+		return false
+	}
+	return su.findings > 0 || len(chain) >= minCrashes
+}
+
+// consecutive returns the crashes since the last quarantine of attempts that each began
+// after the one before had ended, without those that another segment explains. Servers
+// that crash at the same time say little about a segment that many requests have.
+func (li *List) consecutive(now time.Time, segment Segment) []Crash {
+	var chain []Crash
+	su := li.suspects[segment]
+	for _, cr := range su.crashes {
+		isNew := cr.EndedAt.After(su.until) && (len(chain) == 0 || cr.StartedAt.After(chain[len(chain)-1].EndedAt))
+		if isNew && !li.isExplained(now, segment, cr) {
+			chain = append(chain, cr)
+		}
+	}
+	return chain
+}
+
+// isExplained reports whether a crash is one of those for which another segment is in
+// quarantine that has at least as many and doesn't always come with this one.
+func (li *List) isExplained(now time.Time, segment Segment, crash Crash) bool {
+	su := li.suspects[segment]
+	for guilty, other := range li.suspects {
+		if guilty != segment && now.Before(other.until) && len(other.crashes) >= len(su.crashes) &&
+			!slices.Contains(other.companions, segment) && containsCrash(other.crashes, crash) {
+			return true
+		}
+	}
+	return false
+}
+
+// lift ends the quarantine of segments all of whose crashes a new finding explains.
+func (li *List) lift(now time.Time, guilty Segment) {
+	finding := li.suspects[guilty]
+	for segment, su := range li.suspects {
+		if segment == guilty || !now.Before(su.until) || slices.Contains(finding.companions, segment) || len(su.crashes) >= len(finding.crashes) {
+			continue
+		}
+		unexplained := slices.ContainsFunc(su.crashes, func(cr Crash) bool { return !containsCrash(finding.crashes, cr) })
+		if !unexplained {
+			su.until, su.findings = time.Time{}, 0
+		}
+	}
+}
+
 // othersAnswered reports whether enough answers have begun since a time. Those to requests
 // with a suspected segment would have cleared it.
 func (li *List) othersAnswered(since time.Time) bool {
@@ -181,16 +235,6 @@
 	return count >= minOtherAnswers
 }
 
-// explain drops the crashes that a finding explains from the evidence against segments
-// that were not in all of the finding's requests.
-func (li *List) explain(fi Finding) {
-	for segment, su := range li.suspects {
-		if segment != fi.Segment && !slices.Contains(fi.Companions, segment) {
-			su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return containsCrash(fi.Crashes, cr) })
-		}
-	}
-}
-
 // Blocked returns the segment in quarantine for which a request with the segments must
 // not be sent to a server, and the end of the quarantine. It returns false if there is
 // none. Of segments that were always together, all must be in the request: only one of
@@ -219,10 +263,10 @@
 
 // Suspected reports whether servers have crashed one after the other under one of the
 // segments and none has answered since: a broken attempt should not be repeated.
-func (li *List) Suspected(segments []Segment) bool {
+func (li *List) Suspected(now time.Time, segments []Segment) bool {
 	return slices.ContainsFunc(segments, func(segment Segment) bool {
-		su, ok := li.suspects[segment]
-		return ok && len(su.consecutive()) > 1
+		_, ok := li.suspects[segment]
+		return ok && len(li.consecutive(now, segment)) > 1
 	})
 }
 
@@ -286,48 +330,16 @@
 	su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return !cr.EndedAt.After(beganAt) })
 }
 
-// evidence returns the crashes since the last quarantine.
-func (su *suspect) evidence() []Crash {
-	for ix, cr := range su.crashes {
-		if cr.EndedAt.After(su.until) {
-			return su.crashes[ix:]
-		}
-	}
-	return nil
-}
-
-// consecutive returns the crashes of attempts that each began after the one before had
-// ended. Servers that crash at the same time say little about a segment that many
-// requests have.
-func (su *suspect) consecutive() []Crash {
-	var chain []Crash
-	for _, cr := range su.evidence() {
-		if len(chain) == 0 || cr.StartedAt.After(chain[len(chain)-1].EndedAt) {
-			chain = append(chain, cr)
-		}
-	}
-	return chain
-}
-
-// isGuilty reports whether the evidence suffices for a quarantine. After an earlier one
-// the first crash does.
-func (su *suspect) isGuilty(now time.Time) bool {
-	if now.Before(su.until) {
-		return false
-	}
-	chain := su.consecutive()
-	if len(chain) == 0 || now.Sub(chain[0].EndedAt) < minObservation {
-		return false
-	}
-	return su.findings > 0 || len(chain) >= minCrashes
-}
-
 // quarantine starts a quarantine.
 func (su *suspect) quarantine(now time.Time) {
 	su.until = now.Add(min(firstQuarantine<<su.findings, maxQuarantine))
 	su.findings++
 }
 
+func (su *suspect) finding(segment Segment) Finding {
+	return Finding{Segment: segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until}
+}
+
 // lastAt returns the time of the last evidence or the end of the quarantine.
 func (su *suspect) lastAt() time.Time {
 	last := su.clearedAt
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -51,8 +51,8 @@
 func TestSegmentIsBlockedAfterCrashesInSeries(t *testing.T) {
 	li := quarantine.New()
 	recordSeries(li, common, guilty)
-	require.False(t, li.Suspected([]quarantine.Segment{other}))
-	require.True(t, li.Suspected([]quarantine.Segment{guilty}))
+	require.False(t, li.Suspected(at(600), []quarantine.Segment{other}))
+	require.True(t, li.Suspected(at(600), []quarantine.Segment{guilty}))
 	li.RecordAnswer([]quarantine.Segment{common, other}, at(350))
 	answerOthers(li, 400)
 	require.Empty(t, li.Judge(at(1000)), "too early")
@@ -133,6 +133,25 @@
 	require.False(t, isBlocked(li, 5000, other))
 }
 
+// TestSegmentBesideManyCrashesIsReleased guards against a sound segment that stays blocked
+// because requests with it were in progress at as many crashes as made the finding.
+func TestSegmentBesideManyCrashesIsReleased(t *testing.T) {
+	li := quarantine.New()
+	recordSeries(li, common, other)
+	recordSeries(li, common, guilty)
+	li.RecordAnswer([]quarantine.Segment{common}, at(550))
+	answerOthers(li, 600)
+	require.NotEmpty(t, li.Judge(at(1200)))
+	li.RecordCrash(at(1400), []quarantine.Segment{common, guilty}, crash("s4", 1100, 1350))
+	li.RecordAnswer([]quarantine.Segment{common}, at(1360))
+	li.RecordCrash(at(1600), []quarantine.Segment{common, guilty}, crash("s5", 1400, 1550))
+	li.RecordAnswer([]quarantine.Segment{common}, at(1560))
+	li.RecordCrash(at(1900), []quarantine.Segment{common, guilty}, crash("s6", 1600, 1850))
+	li.Judge(at(3000))
+	require.True(t, isBlocked(li, 3000, common, guilty))
+	require.False(t, isBlocked(li, 3000, common, other))
+}
+
 // TestHostsShareFindings checks that a host which saw nothing blocks what another one has
 // found, and that an answer there ends the quarantine at both.
 func TestHostsShareFindings(t *testing.T) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -13,6 +13,8 @@
 const (
 	// maxReports is the number of segments that a host tells others of at once.
 	maxReports = 12
+	// maxReportedCrashes is the number of crashes in a report.
+	maxReportedCrashes = 5
 	// clearedReportTime is how long a host tells others that a segment is sound. For as
 	// long, it doesn't believe those that still have the segment in quarantine.
 	clearedReportTime = 5 * time.Second
@@ -58,20 +60,24 @@
 // Reports returns what other hosts should know, the most urgent first and at most
 // maxReports.
 func (li *List) Reports(now time.Time) []Report {
-	var found []Segment
+	type candidate struct {
+		segment Segment
+		urgency int
+		lastAt  time.Time
+	}
+	var found []candidate
 	for segment, su := range li.suspects {
-		if su.urgency(now) > 0 {
-			found = append(found, segment)
+		if urgency := li.urgency(now, segment); urgency > 0 {
+			found = append(found, candidate{segment: segment, urgency: urgency, lastAt: su.lastAt()})
 		}
 	}
-	slices.SortFunc(found, func(one, two Segment) int {
-		first, second := li.suspects[one], li.suspects[two]
-		return cmp.Or(cmp.Compare(second.urgency(now), first.urgency(now)), second.lastAt().Compare(first.lastAt()), cmp.Compare(one, two))
+	slices.SortFunc(found, func(one, two candidate) int {
+		return cmp.Or(cmp.Compare(two.urgency, one.urgency), two.lastAt.Compare(one.lastAt), cmp.Compare(one.segment, two.segment))
 	})
 	found = found[:min(len(found), maxReports)]
 	reports := make([]Report, 0, len(found))
-	for _, segment := range found {
-		reports = append(reports, li.suspects[segment].report(now, segment))
+	for _, ca := range found {
+		reports = append(reports, li.report(now, ca.segment))
 	}
 	return reports
 }
@@ -79,8 +85,9 @@
 // urgency orders the segments that other hosts should know of: those in quarantine, those
 // under which servers crashed one after the other, those that have been found sound, and
 // single crashes. It is zero if there is nothing to tell.
-func (su *suspect) urgency(now time.Time) int {
-	chain := len(su.consecutive())
+func (li *List) urgency(now time.Time, segment Segment) int {
+	su := li.suspects[segment]
+	chain := len(li.consecutive(now, segment))
 	switch {
 	case now.Before(su.until):
 		return 4
@@ -93,9 +100,10 @@
 	}
 }
 
-func (su *suspect) report(now time.Time, segment Segment) Report {
+func (li *List) report(now time.Time, segment Segment) Report {
+	su := li.suspects[segment]
 	re := Report{Segment: segment, Companions: su.companions, Findings: su.findings}
-	for _, cr := range su.reportedCrashes(now) {
+	for _, cr := range li.reportedCrashes(now, segment) {
 		re.Crashes = append(re.Crashes, CrashReport{
 			Server: cr.Server, StartedAge: mp.Duration(now.Sub(cr.StartedAt)), EndedAge: mp.Duration(now.Sub(cr.EndedAt)),
 		})
@@ -110,11 +118,12 @@
 }
 
 // reportedCrashes returns the crashes that led to the quarantine or may lead to one.
-func (su *suspect) reportedCrashes(now time.Time) []Crash {
-	if now.Before(su.until) {
-		return su.crashes[:min(len(su.crashes), minCrashes)]
+func (li *List) reportedCrashes(now time.Time, segment Segment) []Crash {
+	crashes := li.consecutive(now, segment)
+	if su := li.suspects[segment]; now.Before(su.until) {
+		crashes = su.crashes
 	}
-	return su.consecutive()
+	return crashes[:min(len(crashes), maxReportedCrashes)]
 }
 
 // Merge adds what another host reported and returns the segments that are in quarantine
@@ -123,13 +132,10 @@
 	var findings []Finding
 	for _, re := range reports {
 		if li.merge(now, re) {
-			su := li.suspects[re.Segment]
-			findings = append(findings, Finding{Segment: re.Segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until})
+			findings = append(findings, li.suspects[re.Segment].finding(re.Segment))
+			li.lift(now, re.Segment)
 		}
 	}
-	for _, fi := range findings {
-		li.explain(fi)
-	}
 	return findings
 }
 
@@ -138,15 +144,13 @@
 	su := li.suspect(now, re.Segment)
 	for _, cr := range re.Crashes {
 		crash := Crash{Server: cr.Server, StartedAt: now.Add(-cr.StartedAge.Std()), EndedAt: now.Add(-cr.EndedAge.Std())}
-		if !li.isExplained(now, re.Segment, crash) {
-			li.add(now, re.Segment, crash, slices.Clone(re.Companions))
-		}
+		li.add(now, re.Segment, crash, slices.Clone(re.Companions))
 	}
 	if re.ClearedAge > 0 {
 		su.clear(now.Add(-re.ClearedAge.Std()))
 	}
 	until := now.Add(re.Left.Std())
-	if re.Left == 0 || now.Before(su.until) || now.Sub(su.clearedAt) < clearedReportTime {
+	if re.Left == 0 || now.Before(su.until) || now.Sub(su.clearedAt) < clearedReportTime || li.isWhollyExplained(now, re.Segment) {
 		return false
 	}
 	if len(su.crashes) == 0 {
@@ -155,3 +159,10 @@
 	su.until, su.findings = until, max(re.Findings, su.findings)
 	return true
 }
+
+// isWhollyExplained reports whether all crashes under a segment are explained by one in
+// quarantine, which the host that reported it may not know yet.
+func (li *List) isWhollyExplained(now time.Time, segment Segment) bool {
+	crashes := li.suspects[segment].crashes
+	return len(crashes) > 0 && !slices.ContainsFunc(crashes, func(cr Crash) bool { return !li.isExplained(now, segment, cr) })
+}
