gateway: a stream without length and chunks that ends before its first event was cut

What callers saw: a complete, empty success where the server had ended after the header of its answer.

Cause: the end of the connection counted as the end of the stream wherever no event was open, also before the first one. Class: a broken-off answer passes as complete. Ruled out, by the same test: resets, and ends inside an event (handled before). Change: such an end before the first event fails the attempt, unless the caller goes on with a stream, of which nothing may be left. TestCutAnswerWithNeitherLengthNorChunksIsNotComplete failed before in that case of six.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -224,6 +224,12 @@
 	return ex.body.ended
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so
+// that its end can't be told from a connection that was cut.
+func (ex *Exchange) EndsWithConnection() bool {
+	return ex.Response.ContentLength < 0 && len(ex.Response.TransferEncoding) == 0
+}
+
 // Finish ends an exchange. The connection is returned to the pool if the response was
 // read to its end and the connection can be reused. The server's idle timeout is zero if
 // it is unknown.
--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -293,3 +293,51 @@
 	require.Equal(t, "done", (<-slow).body)
 	require.NoError(t, <-drained)
 }
+
+// TestCutAnswerWithNeitherLengthNorChunksIsNotComplete guards against an answer that ends
+// with its connection, is cut, and reaches the caller as a whole one. The second server
+// answers in full.
+func TestCutAnswerWithNeitherLengthNorChunksIsNotComplete(t *testing.T) {
+	const whole = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+	header := func(co *fakeserver.Conn, rq fakeserver.Request) {
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\nConnection: close\r\n\r\n", rq.ID)
+	}
+	for name, cut := range map[string]func(*fakeserver.Conn){
+		"before the first event":      func(*fakeserver.Conn) {},
+		"inside an event":             func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: o") },
+		"reset before an event":       func(co *fakeserver.Conn) { co.Reset() },
+		"reset between two events":    func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\n"); co.Reset() },
+		"inside the second event":     func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\nid: 2") },
+		"reset inside a second event": func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\nid: 2"); co.Reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				header(co, rq)
+				if calls.Add(1) == 1 {
+					cut(co)
+					return false
+				}
+				for id := rq.LastEventID() + 1; id <= 2; id++ {
+					co.Printf("id: %d\ndata: %s\n\n", id, []string{"one", "two"}[id-1])
+				}
+				return false
+			}
+			fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+			got := fx.post(resumablePath, "r-1", "prompt")
+			require.NoError(t, got.err)
+			require.Equal(t, whole, got.body)
+			require.Equal(t, int64(2), calls.Load())
+		})
+	}
+	t.Run("reset in a plain answer", func(t *testing.T) {
+		handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			header(co, rq)
+			co.Printf("half of the")
+			co.Reset()
+			return false
+		}
+		fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+		require.NotEqual(t, http.StatusOK, fx.post(nonIdempotentPath, "r-1", "order").status)
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -84,7 +84,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			ga.recordProgress(re, progress, !progress.beganAt.IsZero() && endsWithEvent(pending))
+			ga.recordProgress(re, progress, endsWithEvent(pending) && re.hasAnyEvent())
 			return ga.finishStream(re, ch, ex, pending, headers.IdleTimeout)
 		case err != nil:
 			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "stream")}
@@ -235,7 +235,10 @@
 // then the server broke off.
 func (ga *Gateway) finishStream(re *request, ch placement.Choice, ex *backend.Exchange, rest []byte, idleTimeout time.Duration) result {
 	if !endsWithEvent(rest) {
-		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.New("the stream ended inside an event")}
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended inside an event")}
+	}
+	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
 	if re.stream == nil {
 		ga.beginStream(re, ex)
@@ -250,6 +253,15 @@
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
 
+// hasAnyEvent reports whether the caller has received an event of the stream, also in an
+// earlier request that it goes on with.
+func (re *request) hasAnyEvent() bool {
+	if re.stream == nil {
+		return re.headers.LastEventID != ""
+	}
+	return !re.stream.firstAt.IsZero() || re.stream.resumeAfter != ""
+}
+
 // endsWithEvent reports whether data is blank or ends with a complete event.
 func endsWithEvent(data []byte) bool {
 	trimmed := bytes.TrimRight(data, "\r\n")
