quarantine: hosts agree on a segment that was found and cleared

Cause: a report gave the end of a quarantine and the age of the last answer with nothing that orders them, and each host that passed them on made both a little later: a report cleared and blocked the segment in one. Class: merged state without an order of its own. Change: a finding carries the time of the first crash that led to it; it holds while no answer began after that; differences below 250 ms are one event; a host that still has a cleared segment in quarantine is told again. Ruled out: two hosts that judge differently (10 own findings, all of 5.4 s).

TestHostsAgreeOnClearedSegment failed on the code before (the answer was told for ever).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -61,9 +61,14 @@
 	companions []Segment
 	// clearedAt is when a server last began an answer and went on writing it.
 	clearedAt time.Time
-	// until is the end of the quarantine, and findings the number of quarantines so far.
+	// until is the end of the quarantine, since the first crash that led to it, and
+	// findings the number of quarantines so far.
 	until    time.Time
+	since    time.Time
 	findings int
+	// contradictedAt is when another host last had the segment in quarantine although it
+	// has been cleared.
+	contradictedAt time.Time
 }
 
 // Finding is a segment that was put in quarantine.
@@ -150,7 +155,7 @@
 			continue
 		}
 		su := li.suspects[segment]
-		su.quarantine(now)
+		su.quarantine(now, li.consecutive(now, segment)[0].EndedAt)
 		findings = append(findings, su.finding(segment))
 		li.lift(now, segment)
 	}
@@ -321,17 +326,21 @@
 }
 
 // clear drops the evidence from before an answer began, and ends a quarantine if the
-// answer began after the first crash.
+// answer began after the first crash that led to it.
 func (su *suspect) clear(beganAt time.Time) {
-	if !beganAt.After(su.clearedAt) || (len(su.crashes) > 0 && beganAt.Before(su.crashes[0].EndedAt)) {
+	if !beganAt.After(su.clearedAt) {
 		return
 	}
-	su.clearedAt, su.until, su.findings = beganAt, time.Time{}, 0
+	su.clearedAt = beganAt
 	su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return !cr.EndedAt.After(beganAt) })
+	if beganAt.After(su.since) {
+		su.until, su.findings = time.Time{}, 0
+	}
 }
 
-// quarantine starts a quarantine.
-func (su *suspect) quarantine(now time.Time) {
+// quarantine starts a quarantine because of crashes since a time.
+func (su *suspect) quarantine(now, since time.Time) {
+	su.since = since
 	su.until = now.Add(min(firstQuarantine<<su.findings, maxQuarantine))
 	su.findings++
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -170,6 +170,51 @@
 	require.False(t, isBlocked(one, 2000, guilty))
 }
 
+// TestHostsAgreeOnClearedSegment guards against a segment that goes in and out of
+// quarantine because hosts tell each other of the finding and of the answer after it,
+// each time a little later. One of them is cut off while the answer is told.
+func TestHostsAgreeOnClearedSegment(t *testing.T) {
+	hosts := make([]*quarantine.List, 30)
+	for ix := range hosts {
+		hosts[ix] = quarantine.New()
+	}
+	recordSeries(hosts[0], other, guilty)
+	answerOthers(hosts[0], 600)
+	hosts[0].Judge(at(1500))
+	findings := 0
+	const (
+		delay              = 40 // milliseconds that a report travels
+		cutFrom, cutUntil  = 2900, 12_000
+		answered, clearing = 3000, 500
+	)
+	isCut := func(host *quarantine.List, millis int) bool {
+		return host == hosts[29] && millis >= cutFrom && millis < cutUntil+clearing
+	}
+	for millis := 1500; millis < 30_000; millis += 100 {
+		if millis == answered {
+			hosts[7].RecordAnswer([]quarantine.Segment{other}, at(2700))
+		}
+		for _, from := range hosts {
+			reports := from.Reports(at(millis))
+			for _, to := range hosts {
+				if to != from && (millis < cutFrom || millis >= cutUntil || from != hosts[29] && to != hosts[29]) {
+					findings += len(to.Merge(at(millis+delay), reports))
+				}
+			}
+		}
+		for _, host := range hosts {
+			require.True(t, isBlocked(host, millis+delay, other, guilty))
+			require.False(t, millis > answered+clearing && !isCut(host, millis) && isBlocked(host, millis+delay, other, common))
+		}
+	}
+	require.Equal(t, 2*(len(hosts)-1), findings, "each host learns once of both segments")
+	for _, host := range hosts {
+		require.True(t, isBlocked(host, 30_000, guilty), "the other one has been cleared")
+		require.False(t, isBlocked(host, 30_000+5*60_000, guilty), "repeated reports don't extend it")
+		require.Len(t, host.Reports(at(30_000)), 1, "nor is the answer told for ever")
+	}
+}
+
 // TestAnswerAfterTheFirstCrashKeepsSegmentFree checks on random crashes, in any order and
 // over several hosts, that a segment is never blocked by evidence from before an answer.
 func TestAnswerAfterTheFirstCrashKeepsSegmentFree(t *testing.T) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -15,9 +15,12 @@
 	maxReports = 12
 	// maxReportedCrashes is the number of crashes in a report.
 	maxReportedCrashes = 5
-	// clearedReportTime is how long a host tells others that a segment is sound. For as
-	// long, it doesn't believe those that still have the segment in quarantine.
+	// clearedReportTime is how long a host tells others that a segment is sound, and again
+	// after one of them has it in quarantine.
 	clearedReportTime = 5 * time.Second
+	// ageTolerance is the difference between two reports of one event: the ages in a report
+	// don't count the time that it travels.
+	ageTolerance = 250 * time.Millisecond
 )
 
 // CrashReport is a crash in a report. Ages are relative to the time at which it was sent.
@@ -35,9 +38,10 @@
 	// ClearedAge is the time since a server began an answer that has gone on; zero for
 	// none.
 	ClearedAge mp.Duration `json:"cleared_age,omitempty"`
-	// Left is the time until the end of the quarantine; zero for none. Findings is the
-	// number of quarantines so far.
+	// Left is the time until the end of the quarantine; zero for none. SinceAge is the time
+	// since the first crash that led to it, and Findings the number of quarantines so far.
 	Left     mp.Duration `json:"quarantine_left,omitempty"`
+	SinceAge mp.Duration `json:"since_age,omitempty"`
 	Findings int         `json:"findings,omitempty"`
 }
 
@@ -46,7 +50,7 @@
 	if len(re.Crashes) > maxCrashes || len(re.Companions) > maxSuspects || re.Findings < 0 {
 		return errors.NotValidf("report on segment %x with %d crashes, %d companions, %d findings", uint64(re.Segment), len(re.Crashes), len(re.Companions), re.Findings)
 	}
-	if re.ClearedAge < 0 || re.Left < 0 || re.Left.Std() > maxQuarantine {
+	if re.ClearedAge < 0 || re.SinceAge < 0 || re.Left < 0 || re.Left.Std() > maxQuarantine {
 		return errors.NotValidf("report on segment %x, cleared %v ago, in quarantine for %v", uint64(re.Segment), re.ClearedAge, re.Left)
 	}
 	for _, cr := range re.Crashes {
@@ -93,7 +97,7 @@
 		return 4
 	case chain > 1:
 		return 3
-	case now.Sub(su.clearedAt) < clearedReportTime:
+	case now.Sub(su.clearedAt) < clearedReportTime, now.Sub(su.contradictedAt) < clearedReportTime:
 		return 2
 	default:
 		return chain
@@ -112,7 +116,7 @@
 		re.ClearedAge = mp.Duration(max(now.Sub(su.clearedAt), 1))
 	}
 	if now.Before(su.until) {
-		re.Left = mp.Duration(su.until.Sub(now))
+		re.Left, re.SinceAge = mp.Duration(su.until.Sub(now)), mp.Duration(now.Sub(su.since))
 	}
 	return re
 }
@@ -146,17 +150,21 @@
 		crash := Crash{Server: cr.Server, StartedAt: now.Add(-cr.StartedAge.Std()), EndedAt: now.Add(-cr.EndedAge.Std())}
 		li.add(now, re.Segment, crash, slices.Clone(re.Companions))
 	}
-	if re.ClearedAge > 0 {
-		su.clear(now.Add(-re.ClearedAge.Std()))
+	if clearedAt := now.Add(-re.ClearedAge.Std()); re.ClearedAge > 0 && clearedAt.Sub(su.clearedAt) > ageTolerance {
+		su.clear(clearedAt)
 	}
-	until := now.Add(re.Left.Std())
-	if re.Left == 0 || now.Before(su.until) || now.Sub(su.clearedAt) < clearedReportTime || li.isWhollyExplained(now, re.Segment) {
+	if re.Left == 0 || now.Before(su.until) || li.isWhollyExplained(now, re.Segment) {
+		return false
+	}
+	since := now.Add(-re.SinceAge.Std())
+	if since.Sub(su.clearedAt) <= ageTolerance {
+		su.contradictedAt = now
 		return false
 	}
 	if len(su.crashes) == 0 {
 		su.companions = slices.Clone(re.Companions)
 	}
-	su.until, su.findings = until, max(re.Findings, su.findings)
+	su.until, su.since, su.findings = now.Add(re.Left.Std()), since, max(re.Findings, su.findings)
 	return true
 }
 
