peer: a load update that outgrows its datagram loses small loads, not all

From about 280 servers with load on, a host would have seemed dead to the others, and the versions in its updates, by which they hear of new configurations and leaving servers, would have been missing.

Change: the servers with the most load stay in the update. Ruled out: larger datagrams (a lost fragment loses the whole).

--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +83,8 @@
 	// one was logged.
 	refused         int64
 	refusalLoggedAt time.Time
+	// trimLoggedAt is when the last update that was too large was logged.
+	trimLoggedAt time.Time
 }
 
 // LoadBroadcasterOption configures a broadcaster.
@@ -239,11 +244,14 @@
 }
 
 func (lb *LoadBroadcaster) write(update LoadUpdate, recipients []Address) {
-	data, err := json.Marshal(update)
-	if err != nil || len(data) > maxDatagramBytes {
-		lb.logger.Error().Str("event", "sheet_failed").Err(err).Int("bytes", len(data)).Msg("load update not sent: encoding failed or too large for a datagram")
+	data, left, err := encodeLoadUpdate(update)
+	if err != nil {
+		lb.logger.Error().Str("event", "load_update_failed").Err(err).Msg("load update not sent")
 		return
 	}
+	if left < len(update.Loads) {
+		lb.logTrimmed(len(update.Loads), left)
+	}
 	for _, recipient := range recipients {
 		addr, err := netip.ParseAddrPort(string(recipient))
 		if err != nil {
@@ -253,3 +261,44 @@
 		_, _ = lb.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(addr.Addr(), lb.port))
 	}
 }
+
+// encodeLoadUpdate encodes an update for a datagram. If it is too large, only the servers
+// with the most load stay in it: without the others it still shows that the host is alive
+// and which versions it has. encodeLoadUpdate also returns the number of servers left.
+func encodeLoadUpdate(update LoadUpdate) ([]byte, int, error) {
+	for {
+		data, err := json.Marshal(update)
+		if err != nil || len(data) <= maxDatagramBytes {
+			return data, len(update.Loads), errors.Trace(err)
+		}
+		if len(update.Loads) == 0 {
+			return nil, 0, errors.NotValidf("load update of %d bytes without loads", len(data))
+		}
+		update.Loads = largestLoads(update.Loads, len(update.Loads)*3/4)
+	}
+}
+
+// largestLoads returns the given number of loads with the most prompt tokens, or the most
+// streams among equals.
+func largestLoads(loads map[mp.ServerID]Load, count int) map[mp.ServerID]Load {
+	servers := slices.Collect(maps.Keys(loads))
+	slices.SortFunc(servers, func(one, two mp.ServerID) int {
+		return cmp.Or(cmp.Compare(loads[two].PrefillTokens, loads[one].PrefillTokens), cmp.Compare(loads[two].Streams, loads[one].Streams), cmp.Compare(one, two))
+	})
+	kept := make(map[mp.ServerID]Load, count)
+	for _, id := range servers[:count] {
+		kept[id] = loads[id]
+	}
+	return kept
+}
+
+// logTrimmed logs that an update was too large for all loads, at most once each
+// refusalLogInterval. Only the sending goroutine calls it.
+func (lb *LoadBroadcaster) logTrimmed(servers, left int) {
+	now := lb.clock.Now()
+	if now.Sub(lb.trimLoggedAt) < refusalLogInterval {
+		return
+	}
+	lb.trimLoggedAt = now
+	lb.logger.Warn().Str("event", "load_update_trimmed").Int("servers", servers).Int("left", left).Msg("load update too large for a datagram; servers with little load left out")
+}
