--- /dev/null
+++ b/quarantine/suspect.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// suspect is what is known of a segment under which a server crashed.
+type suspect struct {
+	// crashes are ordered by their ends.
+	crashes []Crash
+	// companions are the other segments that all broken attempts had.
+	companions []Segment
+	// clearedAt is when a server last began an answer and went on writing it.
+	clearedAt time.Time
+	// until is the end of the quarantine, since the first crash that led to it, and
+	// findings the number of quarantines so far.
+	until    time.Time
+	since    time.Time
+	findings int
+	// contradictedAt is when another host last had the segment in quarantine although it
+	// has been cleared.
+	contradictedAt time.Time
+}
+
+// add records a crash with the other segments of the request.
+func (su *suspect) add(crash Crash, companions []Segment) {
+	if !crash.EndedAt.After(su.clearedAt) {
+		return
+	}
+	if len(su.crashes) == 0 {
+		su.companions = companions
+	} else {
+		su.companions = intersection(su.companions, companions)
+	}
+	su.insert(crash)
+}
+
+// insert adds a crash that isn't known yet in the order of time. Of too many it keeps the
+// first ones.
+func (su *suspect) insert(crash Crash) {
+	if containsCrash(su.crashes, crash) {
+		return
+	}
+	su.crashes = append(su.crashes, crash)
+	slices.SortFunc(su.crashes, func(one, two Crash) int { return one.EndedAt.Compare(two.EndedAt) })
+	su.crashes = su.crashes[:min(len(su.crashes), maxCrashes)]
+}
+
+// clear drops the evidence from before an answer began, and ends a quarantine if the
+// answer began after the first crash that led to it.
+func (su *suspect) clear(beganAt time.Time) {
+	if !beganAt.After(su.clearedAt) {
+		return
+	}
+	su.clearedAt = beganAt
+	su.crashes = slices.DeleteFunc(su.crashes, func(cr Crash) bool { return !cr.EndedAt.After(beganAt) })
+	if beganAt.After(su.since) {
+		su.until, su.findings = time.Time{}, 0
+	}
+}
+
+// quarantine starts a quarantine because of crashes since a time.
+func (su *suspect) quarantine(now, since time.Time) {
+	su.since = since
+	su.until = now.Add(min(firstQuarantine<<su.findings, maxQuarantine))
+	su.findings++
+}
+
+func (su *suspect) finding(segment Segment) Finding {
+	return Finding{Segment: segment, Crashes: slices.Clone(su.crashes), Companions: slices.Clone(su.companions), Until: su.until}
+}
+
+// lastAt returns the time of the last evidence or the end of the quarantine.
+func (su *suspect) lastAt() time.Time {
+	last := su.clearedAt
+	if count := len(su.crashes); count > 0 && su.crashes[count-1].EndedAt.After(last) {
+		last = su.crashes[count-1].EndedAt
+	}
+	if su.until.After(last) {
+		last = su.until
+	}
+	return last
+}
+
+// containsCrash reports whether a crash is among others, which another host may have
+// recorded with slightly different times.
+func containsCrash(crashes []Crash, crash Crash) bool {
+	return slices.ContainsFunc(crashes, func(other Crash) bool {
+		return other.Server == crash.Server && other.EndedAt.Sub(crash.EndedAt).Abs() < sameCrash
+	})
+}
+
+func intersection(one, two []Segment) []Segment {
+	return slices.DeleteFunc(slices.Clone(one), func(segment Segment) bool { return !slices.Contains(two, segment) })
+}
