--- a/bench/messages.go
+++ b/bench/messages.go
@@ -88,8 +88,16 @@
 	for range membersPerMessage {
 		state.Members = append(state.Members, state.From)
 	}
+	var servers []directory.Server
 	for ix := range count {
-		state.Servers = append(state.Servers, server(ix))
+		servers = append(servers, server(ix))
+	}
+	packed, err := directory.Pack(servers)
+	if err != nil {
+		panic(err) // the type always marshals
+	}
+	if count > 0 {
+		state.PackedServers = packed
 	}
 	return state
 }
--- a/follow/state.go
+++ b/follow/state.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/compression"
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/routing"
@@ -21,6 +22,10 @@
 	SourcePeer  Source = "peer"
 )
 
+// maxConfigurationBytes is the largest decompressed configuration that is accepted from
+// another host: a few times what the store takes.
+const maxConfigurationBytes = 4 * mp.Mebibyte
+
 // state is the host's replica of the configuration and the server list. Only
 // the update goroutine accesses it.
 type state struct {
@@ -32,6 +37,8 @@
 	// configurationConfirmedAt is the last time at which the configuration is known to
 	// have matched the store.
 	configurationConfirmedAt time.Time
+	// packed is the list of servers, for other hosts.
+	packed *packedServers
 	// lastRefusal is the error of the last configuration that could not be
 	// decoded, so that a repeated read does not log it again.
 	lastRefusal string
@@ -47,7 +54,7 @@
 // applyStoredConfiguration applies a configuration that was read from the store and
 // reports whether it is newer than the current one.
 func (st *state) applyStoredConfiguration(data []byte) bool {
-	compressed, err := compress(data)
+	compressed, err := compression.Compress(data)
 	if err != nil {
 		st.refuseConfiguration(SourceStore, err)
 		return false
@@ -58,7 +65,7 @@
 // applyPeerConfiguration applies the compressed configuration of a peer and reports
 // whether it is newer than the current one.
 func (st *state) applyPeerConfiguration(compressed []byte) bool {
-	data, err := decompress(compressed)
+	data, err := compression.Decompress(compressed, maxConfigurationBytes)
 	if err != nil {
 		st.refuseConfiguration(SourcePeer, err)
 		return false
@@ -216,10 +223,14 @@
 
 // snapshot returns an immutable copy of the state for request handlers.
 func (st *state) snapshot() *Snapshot {
+	if servers := st.directory.Servers(); st.packed == nil || !st.packed.contains(servers) {
+		st.packed = &packedServers{servers: servers}
+	}
 	return &Snapshot{
 		Table:                    st.table,
 		CompressedConfiguration:  st.compressed,
 		Servers:                  st.directory.Servers(),
+		packed:                   st.packed,
 		ListRevision:             st.directory.Revision(),
 		ListConfirmedAt:          st.directory.ConfirmedAt(),
 		ConfigurationConfirmedAt: st.configurationConfirmedAt,
--- a/follow/view.go
+++ b/follow/view.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/routing"
@@ -23,10 +25,11 @@
 	// Table is the routing table; nil before the first configuration.
 	Table *routing.Table
 	// CompressedConfiguration is the configuration as the operator published it,
-	// compressed by Compress.
+	// compressed by package compression.
 	CompressedConfiguration []byte
 	// Servers are the listed backend servers, ordered by identifier.
 	Servers []directory.Server
+	packed  *packedServers
 	// ListRevision is the store revision of the server list; zero for none.
 	ListRevision mp.Revision
 	// ListConfirmedAt is the last time at which the server list is known to have
@@ -36,6 +39,14 @@
 	ConfigurationConfirmedAt time.Time
 }
 
+// PackedServers returns the servers in the form in which hosts send them to each other.
+func (sn *Snapshot) PackedServers() ([]byte, error) {
+	if sn.packed == nil {
+		return nil, errors.NotFoundf("list of servers")
+	}
+	return sn.packed.bytes()
+}
+
 // ConfirmedAt returns the last time at which both the configuration and the server list
 // are known to have matched the store.
 func (sn *Snapshot) ConfirmedAt() time.Time {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/peer"
 )
@@ -30,7 +31,11 @@
 	snapshot := ga.view.Load()
 	local := peer.State{Digest: ga.digest(snapshot)}
 	if other.ListRevision < local.ListRevision {
-		local.Servers = snapshot.Servers
+		packed, err := snapshot.PackedServers()
+		if err != nil {
+			ga.logger.Error().Str("event", "server_list_not_sent").Err(err).Msg("cannot pack the list of servers for another host")
+		}
+		local.PackedServers = packed
 	}
 	return local
 }
@@ -39,12 +44,23 @@
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
 	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	snapshot := ga.view.Load()
-	if remote.Servers != nil && remote.ListRevision > snapshot.ListRevision {
-		ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListRevision, remote.Servers)
+	if remote.PackedServers != nil && remote.ListRevision > snapshot.ListRevision {
+		ga.mergeServers(at, remote)
 	}
 	ga.confirm(at, remote.Digest)
 }
 
+// mergeServers merges the list of servers that another host sent.
+func (ga *Gateway) mergeServers(at time.Time, remote peer.State) {
+	servers, err := directory.Unpack(remote.PackedServers)
+	if err != nil {
+		ga.logger.Error().Str("event", "server_list_refused").Str("peer", string(remote.From.Address)).
+			Uint64("revision", uint64(remote.ListRevision)).Err(err).Msg("cannot read the list of servers of another host")
+		return
+	}
+	ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListRevision, servers)
+}
+
 // Configuration implements peer.Delegate.
 func (ga *Gateway) Configuration() peer.Configuration {
 	snapshot := ga.view.Load()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -5,7 +5,6 @@
 
 import (
 	mp "github.com/mangopaddle/mangopaddle"
-	"github.com/mangopaddle/mangopaddle/directory"
 )
 
 // Method names a JSON-RPC method.
@@ -36,8 +35,9 @@
 	Members []Member `json:"members,omitempty"`
 	Digest
 
-	// Servers is the list of backend servers, if the receiver may lack it.
-	Servers []directory.Server `json:"servers,omitempty"`
+	// PackedServers is the list of backend servers as packed by directory.Pack, if the
+	// receiver may lack it.
+	PackedServers []byte `json:"packed_servers,omitempty"`
 }
 
 // ConfigurationRequest asks for a configuration that is newer than the sender's.
--- a/peer/node.go
+++ b/peer/node.go
@@ -267,7 +267,7 @@
 		}
 		no.mergeState(sentAt, response)
 		missing := no.stateFor(response)
-		if missing.Servers == nil {
+		if missing.PackedServers == nil {
 			return nil
 		}
 		_, err = no.call(ctx, conn, missing)
