--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -80,3 +80,30 @@
 	}
 	require.Equal(t, crashes, cp.crashes.Load())
 }
+
+// TestResetConnectionsPutNoSegmentInQuarantine guards against prompts that are refused
+// because servers close connections and live on.
+func TestResetConnectionsPutNoSegmentInQuarantine(t *testing.T) {
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		if strings.Contains(rq.Header.Get("Prompt-Prefix"), crashSegment) {
+			co.Reset()
+			return false
+		}
+		co.BeginStream(rq)
+		co.WriteEvent(1)
+		co.EndStream()
+		return true
+	}
+	cp := &crashPlay{}
+	for range crashedServers {
+		cp.servers = append(cp.servers, startServer(t, handler))
+	}
+	cp.fixture = newFixture(t, nil, cp.servers)
+	for range 12 {
+		require.Equal(t, http.StatusBadGateway, cp.ask(commonSegment, crashSegment).status)
+		require.Equal(t, http.StatusOK, cp.ask(commonSegment, "b2:200").status)
+		time.Sleep(restartTime / 2)
+	}
+	require.Zero(t, cp.logs.Count("segment_quarantined"))
+	require.Positive(t, cp.logs.Count("server_inspected"))
+}
