quarantine: the number of findings of another host can't overflow the time

Found by reading: the quarantine doubles with each finding, whose number comes from other hosts too; a large one made it end at once. Doublings are bounded. TestQuarantineIsNeverLongerThanAnHour failed before. The order in which segments are told has names.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -33,6 +33,8 @@
 	// mended.
 	firstQuarantine = 5 * time.Minute
 	maxQuarantine   = time.Hour
+	// maxDoublings keeps the doubled quarantine from overflowing.
+	maxDoublings = 8
 	// memory is how long a segment is remembered after its last crash or quarantine.
 	memory = 2 * time.Minute
 	// maxSuspects, maxCrashes and maxAnswers bound what is remembered.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -152,6 +152,18 @@
 	require.False(t, isBlocked(li, 3000, common, other))
 }
 
+// TestQuarantineIsNeverLongerThanAnHour guards against a number of findings, which may
+// come from another host, that overflows the time.
+func TestQuarantineIsNeverLongerThanAnHour(t *testing.T) {
+	li := quarantine.New()
+	li.Merge(at(0), []quarantine.Report{{Segment: guilty, Left: mp.Duration(time.Millisecond), Findings: 1 << 40}})
+	li.RecordCrash(at(500), []quarantine.Segment{guilty}, crash("s1", 100, 500))
+	answerOthers(li, 600)
+	require.Len(t, li.Judge(at(2000)), 1)
+	require.True(t, isBlocked(li, 2000+59*60_000, guilty))
+	require.False(t, isBlocked(li, 2000+61*60_000, guilty))
+}
+
 // TestHostsShareFindings checks that a host which saw nothing blocks what another one has
 // found, and that an answer there ends the quarantine at both.
 func TestHostsShareFindings(t *testing.T) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -66,13 +66,13 @@
 func (li *List) Reports(now time.Time) []Report {
 	type candidate struct {
 		segment Segment
-		urgency int
+		urgency urgency
 		lastAt  time.Time
 	}
 	var found []candidate
 	for segment, su := range li.suspects {
-		if urgency := li.urgency(now, segment); urgency > 0 {
-			found = append(found, candidate{segment: segment, urgency: urgency, lastAt: su.lastAt()})
+		if ur := li.urgency(now, segment); ur > nothingToTell {
+			found = append(found, candidate{segment: segment, urgency: ur, lastAt: su.lastAt()})
 		}
 	}
 	slices.SortFunc(found, func(one, two candidate) int {
@@ -86,21 +86,32 @@
 	return reports
 }
 
-// urgency orders the segments that other hosts should know of: those in quarantine, those
-// under which servers crashed one after the other, those that have been found sound, and
-// single crashes. It is zero if there is nothing to tell.
-func (li *List) urgency(now time.Time, segment Segment) int {
+// urgency orders the segments that other hosts should know of.
+type urgency int
+
+const (
+	nothingToTell urgency = iota
+	singleCrash
+	foundSound
+	crashesInSeries
+	inQuarantine
+)
+
+// urgency returns how urgently other hosts should know of a segment.
+func (li *List) urgency(now time.Time, segment Segment) urgency {
 	su := li.suspects[segment]
 	chain := len(li.consecutive(now, segment))
 	switch {
 	case now.Before(su.until):
-		return 4
+		return inQuarantine
 	case chain > 1:
-		return 3
+		return crashesInSeries
 	case now.Sub(su.clearedAt) < clearedReportTime, now.Sub(su.contradictedAt) < clearedReportTime:
-		return 2
+		return foundSound
+	case chain == 1:
+		return singleCrash
 	default:
-		return chain
+		return nothingToTell
 	}
 }
 
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -63,7 +63,7 @@
 // quarantine starts a quarantine because of crashes since a time.
 func (su *suspect) quarantine(now, since time.Time) {
 	su.since = since
-	su.until = now.Add(min(firstQuarantine<<su.findings, maxQuarantine))
+	su.until = now.Add(min(firstQuarantine<<min(su.findings, maxDoublings), maxQuarantine))
 	su.findings++
 }
 
