directory, follow: hosts don't send each other servers that they only retain

What callers saw: requests reached a server 4.0 to 4.3 s after its entry had gone (DRAIN) at hosts that had the newest list.

Cause: a host that has seen an outage retains servers whose entries are gone, for they may register again. They were in the list that it sends to others, who took them for listed and kept them until the next revision. Class: a guess that loses its mark when it is passed on.

Change: what is sent is the list without retained servers; a host that saw the outage itself retains them by itself. server_removed names the expiry of a retained one. TestRetainedServersAreNotListed and TestRetainedServerIsNotSentToPeers failed before.

--- a/capacity/roles.go
+++ b/capacity/roles.go
@@ -111,7 +111,7 @@
 	return Role{
 		Name:      "gossip between hosts",
 		HostKind:  GatewayHost,
-		Mechanism: "a call to a random host every 3 s; a newer list or configuration is sent in full",
+		Mechanism: "a call to a random host every 3 s; a newer list of servers is sent whole and compressed, a configuration compressed and by itself",
 		State:     "the hosts seen in the last 30 s",
 		Mean:      cost,
 		Busiest:   cost,
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -198,3 +198,16 @@
 	}
 	return di.sorted
 }
+
+// Listed returns the servers without those that are retained. Other hosts may get only
+// these: they know themselves whether the store was unavailable to them, and for how long
+// to retain a server.
+func (di *Directory) Listed() []Server {
+	if len(di.retainedUntil) == 0 {
+		return di.Servers()
+	}
+	return slices.DeleteFunc(slices.Clone(di.Servers()), func(se Server) bool {
+		_, ok := di.retainedUntil[se.ID]
+		return ok
+	})
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -93,3 +93,15 @@
 	require.True(t, di.Confirm(start.Add(time.Second), 9))
 	require.Equal(t, start.Add(time.Second), di.ConfirmedAt())
 }
+
+// TestRetainedServersAreNotListed guards against a server whose entry is gone and that
+// other hosts take for listed, because one that retains it tells them so.
+func TestRetainedServersAreNotListed(t *testing.T) {
+	di := directory.New()
+	di.Replace(start, 9, []directory.Server{ready("a"), ready("b")})
+	di.Replace(start.Add(5*time.Second), 20, []directory.Server{ready("a")})
+	require.Equal(t, []mp.ServerID{"a", "b"}, ids(di))
+	require.Equal(t, []directory.Server{ready("a")}, di.Listed())
+	di.Expire(start.Add(8 * time.Second))
+	require.Equal(t, []directory.Server{ready("a")}, di.Listed())
+}
--- a/follow/configuration_test.go
+++ b/follow/configuration_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakestore"
@@ -118,3 +119,35 @@
 	require.Equal(t, mp.Version(9), view.Load().Version())
 	require.Equal(t, newer, view.Load().CompressedConfiguration)
 }
+
+// TestRetainedServerIsNotSentToPeers guards against a server that has left and that other
+// hosts keep, because one that retains it after an outage of the store lists it.
+func TestRetainedServerIsNotSentToPeers(t *testing.T) {
+	store, view, clock := newStubStore(), follow.NewView(), clockwork.NewFakeClock()
+	store.put("servers/a", entry)
+	store.put("op/config", configuration)
+	_, stop := follow.New(store, view, follow.WithListInterval(time.Second), follow.WithClock(clock), follow.WithReaderOrder(func() int { return 1 }))
+	t.Cleanup(stop)
+	<-view.Ready()
+	store.fail(errors.New("connection refused"))
+	advance := func(duration time.Duration) {
+		const sleepers = 3 // the update, list and watch goroutines
+		for range duration / (100 * time.Millisecond) {
+			require.NoError(t, clock.BlockUntilContext(t.Context(), sleepers))
+			clock.Advance(100 * time.Millisecond)
+		}
+		require.NoError(t, clock.BlockUntilContext(t.Context(), sleepers))
+	}
+	advance(6 * time.Second)
+	store.clear()
+	store.put("op/config", `{"version":5}`)
+	store.fail(nil)
+	advance(2 * time.Second)
+	require.Equal(t, mp.Version(5), view.Load().Version())
+	require.Len(t, view.Load().Servers, 1, "it may register again")
+	packed, err := view.Load().PackedServers()
+	require.NoError(t, err)
+	listed, err := directory.Unpack(packed)
+	require.NoError(t, err)
+	require.Empty(t, listed)
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -166,7 +166,7 @@
 			fo.publish(st, up.apply(st))
 			close(up.applied)
 		case <-ticker.Chan():
-			if st.directory.Expire(fo.clock.Now()) {
+			if st.expireServers(fo.clock.Now()) {
 				fo.publish(st, true)
 			}
 		}
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -48,6 +48,13 @@
 	st.err = err
 }
 
+// clear removes all items.
+func (st *stubStore) clear() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.items = nil
+}
+
 // failPrefix makes the list calls of a prefix fail.
 func (st *stubStore) failPrefix(prefix string, err error) {
 	st.mu.Lock()
--- a/follow/state.go
+++ b/follow/state.go
@@ -16,10 +16,12 @@
 // Source names where a host received a configuration or a server list from.
 type Source string
 
-// The sources: a read of the platform's store, or another host.
+// The sources: a read of the platform's store, another host, or the end of the time in
+// which a server could have registered again.
 const (
-	SourceStore Source = "store"
-	SourcePeer  Source = "peer"
+	SourceStore  Source = "store"
+	SourcePeer   Source = "peer"
+	SourceExpiry Source = "expiry"
 )
 
 // maxConfigurationBytes is the largest decompressed configuration that is accepted from
@@ -37,7 +39,7 @@
 	// configurationConfirmedAt is the last time at which the configuration is known to
 	// have matched the store.
 	configurationConfirmedAt time.Time
-	// packed is the list of servers, for other hosts.
+	// packed are the listed servers, for other hosts.
 	packed *packedServers
 	// lastRefusal is the error of the last configuration that could not be
 	// decoded, so that a repeated read does not log it again.
@@ -175,6 +177,17 @@
 	return true
 }
 
+// expireServers removes retained servers that did not register again in time and reports
+// whether there were any.
+func (st *state) expireServers(now time.Time) bool {
+	before := st.directory.Servers()
+	if !st.directory.Expire(now) {
+		return false
+	}
+	st.logChanges(before, st.directory.Revision(), SourceExpiry)
+	return true
+}
+
 // decodeServers decodes entries of the store. An invalid entry is logged and
 // treated as removed.
 func (st *state) decodeServers(items []platform.Item) []directory.Server {
@@ -223,8 +236,8 @@
 
 // snapshot returns an immutable copy of the state for request handlers.
 func (st *state) snapshot() *Snapshot {
-	if servers := st.directory.Servers(); st.packed == nil || !st.packed.contains(servers) {
-		st.packed = &packedServers{servers: servers}
+	if listed := st.directory.Listed(); st.packed == nil || !st.packed.contains(listed) {
+		st.packed = &packedServers{servers: listed}
 	}
 	return &Snapshot{
 		Table:                    st.table,
--- a/follow/view.go
+++ b/follow/view.go
@@ -39,7 +39,8 @@
 	ConfigurationConfirmedAt time.Time
 }
 
-// PackedServers returns the servers in the form in which hosts send them to each other.
+// PackedServers returns the servers that the store lists, without retained ones, in the
+// form in which hosts send them to each other.
 func (sn *Snapshot) PackedServers() ([]byte, error) {
 	if sn.packed == nil {
 		return nil, errors.NotFoundf("list of servers")
