directory, follow: a list that is old without a failed call is no outage

What callers saw: requests reached servers up to 4.3 s after these had left, with a limit of 4 s, when the host that reads the store for its data centre had been frozen (DRAIN).

Cause: a list over 2 s old passed for the end of an outage, after which servers whose entries are gone are retained for 2.2 s. Without any outage a list is 1.8 to 3 s old when another host takes over from a reader. Class: a symptom that has two causes taken for one of them. Evidence: groningen-1-10 takes over with a list of 2,165 ms and no failed call (readers.toml). Ruled out: a higher threshold (entries lapse from 2.4 s on, takeovers end at 3 s).

Change: an outage needs a failed list call since the list was confirmed as well. TestOldListWithoutFailureIsNoOutage failed before. The tests of retention record the failed call that an outage has, and check the same as before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -47,7 +47,8 @@
 const reregisterTimeout = 2200 * time.Millisecond
 
 // outageThreshold is the age of the list above which entries may have expired
-// because the store was unavailable.
+// because the store was unavailable, if a call to it has failed in the meantime. A list
+// also ages while another host takes over from the one that reads the store.
 const outageThreshold = 2 * time.Second
 
 // Directory is the list of backend servers with its revision and age. It is not
@@ -61,6 +62,8 @@
 	// retainedUntil holds the servers whose entries disappeared in an outage, and
 	// when they expire.
 	retainedUntil map[mp.ServerID]time.Time
+	// failedAt is when a call to the store last failed.
+	failedAt time.Time
 	// storeReturnedAt is when the list was updated again after the last outage of the
 	// store.
 	storeReturnedAt time.Time
@@ -154,10 +157,13 @@
 	return known != se
 }
 
+// RecordFailure records that a call to the store failed.
+func (di *Directory) RecordFailure(now time.Time) { di.failedAt = now }
+
 // detectOutage records the end of a store outage if the list is older than
-// outageThreshold.
+// outageThreshold and a call to the store has failed since it was confirmed.
 func (di *Directory) detectOutage(now time.Time) {
-	if !di.confirmedAt.IsZero() && now.Sub(di.confirmedAt) > outageThreshold {
+	if !di.confirmedAt.IsZero() && di.failedAt.After(di.confirmedAt) && now.Sub(di.confirmedAt) > outageThreshold {
 		di.storeReturnedAt = now
 	}
 }
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -61,6 +61,7 @@
 func TestServersAreRetainedAfterStoreOutage(t *testing.T) {
 	di := directory.New()
 	di.Replace(start, 9, []directory.Server{ready("a"), ready("b"), ready("c")})
+	di.RecordFailure(start.Add(3 * time.Second))
 	returned := start.Add(5 * time.Second)
 	di.Replace(returned, 20, []directory.Server{ready("a")})
 	require.Equal(t, []mp.ServerID{"a", "b", "c"}, ids(di))
@@ -82,6 +83,7 @@
 	draining := ready("a")
 	draining.State = directory.Draining
 	di.Replace(start, 9, []directory.Server{draining, ready("b")})
+	di.RecordFailure(start.Add(3 * time.Second))
 	di.Replace(start.Add(5*time.Second), 20, []directory.Server{ready("b")})
 	require.Equal(t, []mp.ServerID{"b"}, ids(di))
 }
@@ -99,9 +101,21 @@
 func TestRetainedServersAreNotListed(t *testing.T) {
 	di := directory.New()
 	di.Replace(start, 9, []directory.Server{ready("a"), ready("b")})
+	di.RecordFailure(start.Add(3 * time.Second))
 	di.Replace(start.Add(5*time.Second), 20, []directory.Server{ready("a")})
 	require.Equal(t, []mp.ServerID{"a", "b"}, ids(di))
 	require.Equal(t, []directory.Server{ready("a")}, di.Listed())
 	di.Expire(start.Add(8 * time.Second))
 	require.Equal(t, []directory.Server{ready("a")}, di.Listed())
 }
+
+// TestOldListWithoutFailureIsNoOutage guards against a server that leaves while another
+// host takes over from the one that read the store, and is retained as after an outage.
+func TestOldListWithoutFailureIsNoOutage(t *testing.T) {
+	di := directory.New()
+	di.Replace(start, 9, []directory.Server{ready("a"), ready("b")})
+	di.RecordFailure(start.Add(500 * time.Millisecond))
+	di.Confirm(start.Add(time.Second), 9) // another host was served
+	di.Replace(start.Add(4*time.Second), 10, []directory.Server{ready("a")})
+	require.Equal(t, []mp.ServerID{"a"}, ids(di))
+}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -283,6 +283,10 @@
 		if err != nil {
 			failures++
 			fo.recordFailure("list", err)
+			fo.submit(func(st *state) bool {
+				st.directory.RecordFailure(fo.clock.Now())
+				return false
+			})
 			fo.backoff(ctx, fo.readerOrder(), failures)
 		} else {
 			failures = 0
