peer: the test of few transfers at once doesn't hang on the machine's speed

Under the race detector beside other load the test failed once: the fifth host got the configuration. Traced: encoding 24 MB took seconds, the first receivers, which don't read, were cut off after 5 s without progress as they should be, and their places were free. Ruled out: a limit that isn't kept (the requests were seconds apart).

--- a/peer/transfer.go
+++ b/peer/transfer.go
@@ -70,16 +70,16 @@
 		no.replyError(ctx, conn, rq, jsonrpc2.CodeInvalidParams, "params can't be read")
 		return
 	}
-	local := no.delegate.Configuration()
-	if request.Version >= local.Version {
-		no.reply(ctx, conn, rq, Configuration{})
-		return
-	}
 	select {
 	case no.transfers <- struct{}{}:
 		defer func() { <-no.transfers }()
-		no.reply(ctx, conn, rq, local)
 	default:
 		no.reply(ctx, conn, rq, Configuration{})
+		return
+	}
+	local := no.delegate.Configuration()
+	if request.Version >= local.Version {
+		local = Configuration{}
 	}
+	no.reply(ctx, conn, rq, local)
 }
--- a/peer/transfer_test.go
+++ b/peer/transfer_test.go
@@ -14,13 +14,20 @@
 	"github.com/mangopaddle/mangopaddle/peer"
 )
 
-// configuredDelegate is the delegate of a host with a configuration.
+// configuredDelegate is the delegate of a host with a configuration. It hands that out once
+// it is released.
 type configuredDelegate struct {
 	recordingDelegate
 	configuration peer.Configuration
+	asked         chan struct{}
+	released      chan struct{}
 }
 
-func (cd *configuredDelegate) Configuration() peer.Configuration { return cd.configuration }
+func (cd *configuredDelegate) Configuration() peer.Configuration {
+	cd.asked <- struct{}{}
+	<-cd.released
+	return cd.configuration
+}
 
 // requestConfiguration asks a node for a configuration newer than a version and returns
 // the connection.
@@ -47,21 +54,25 @@
 func TestConfigurationIsSentToFewHostsAtOnce(t *testing.T) {
 	const maxTransfers = 4
 	self := peer.Member{Address: peer.Address(loopback.Address())}
-	// More than what the connections' buffers take.
-	delegate := &configuredDelegate{configuration: peer.Configuration{Version: 7, Compressed: make([]byte, 24<<20)}}
+	delegate := &configuredDelegate{
+		configuration: peer.Configuration{Version: 7, Compressed: []byte("seven")},
+		asked:         make(chan struct{}, 100), released: make(chan struct{}),
+	}
 	_, stop, err := peer.New(self, nil, delegate)
 	require.NoError(t, err)
 	t.Cleanup(stop)
 	var receivers []net.Conn
 	for range maxTransfers {
-		nc := requestConfiguration(t, self.Address, "6")
-		_, err := io.ReadFull(nc, make([]byte, 1))
-		require.NoError(t, err)
-		receivers = append(receivers, nc)
+		receivers = append(receivers, requestConfiguration(t, self.Address, "6"))
+		<-delegate.asked
+	}
+	for range 3 {
+		require.Zero(t, readConfiguration(t, requestConfiguration(t, self.Address, "6")).Version, "another host has it soon")
 	}
-	require.Zero(t, readConfiguration(t, requestConfiguration(t, self.Address, "6")).Version, "another host has it soon")
-	for _, nc := range receivers {
-		require.NoError(t, nc.Close())
+	require.NoError(t, receivers[0].Close())
+	close(delegate.released)
+	for _, nc := range receivers[1:] {
+		require.Equal(t, delegate.configuration, readConfiguration(t, nc))
 	}
 	require.Eventually(t, func() bool {
 		return readConfiguration(t, requestConfiguration(t, self.Address, "6")).Version == mp.Version(7)
