--- a/gateway/distribution_test.go
+++ b/gateway/distribution_test.go
@@ -51,15 +51,20 @@
 	return written, nil
 }
 
-func dialSlowly(ctx context.Context, address peer.Address) (net.Conn, error) {
-	var dialer net.Dialer
-	nc, err := dialer.DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, err
+// dialThrough returns a dialer whose connections are wrapped.
+func dialThrough(wrap func(net.Conn) net.Conn) peer.DialFunc {
+	return func(ctx context.Context, address peer.Address) (net.Conn, error) {
+		var dialer net.Dialer
+		nc, err := dialer.DialContext(ctx, "tcp", string(address))
+		if err != nil {
+			return nil, err
+		}
+		return wrap(nc), nil
 	}
-	return slowConn{Conn: nc}, nil
 }
 
+func slow(nc net.Conn) net.Conn { return slowConn{Conn: nc} }
+
 // narrowConn is a connection that carries promptBytes at once and whatever follows so
 // slowly that a large transfer doesn't end.
 type narrowConn struct {
@@ -83,14 +88,7 @@
 	return count, err
 }
 
-func dialNarrow(ctx context.Context, address peer.Address) (net.Conn, error) {
-	var dialer net.Dialer
-	nc, err := dialer.DialContext(ctx, "tcp", string(address))
-	if err != nil {
-		return nil, err
-	}
-	return &narrowConn{Conn: nc}, nil
-}
+func narrow(nc net.Conn) net.Conn { return &narrowConn{Conn: nc} }
 
 // dialNobody fails, so that a host sends others only what they ask for.
 func dialNobody(context.Context, peer.Address) (net.Conn, error) {
@@ -134,8 +132,8 @@
 // TestLargeConfigurationReachesHostWithSlowLink guards against a time limit on a transfer
 // that doesn't depend on its size.
 func TestLargeConfigurationReachesHostWithSlowLink(t *testing.T) {
-	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil, gateway.WithPeerDialer(dialSlowly))
-	fed := fx.startFedHost(dialSlowly)
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil, gateway.WithPeerDialer(dialThrough(slow)))
+	fed := fx.startFedHost(dialThrough(slow))
 	fx.configure(withLargeRoutes)
 	fx.eventually(func() bool { return fed.ConfigVersion() == mp.Version(fx.version) })
 }
@@ -145,7 +143,7 @@
 func TestLeavingServerIsKnownDuringLargeTransfer(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
 	fx := newFixture(t, []*fakeserver.Server{app}, nil, gateway.WithPeerDialer(dialNobody))
-	fed := fx.startFedHost(dialNarrow)
+	fed := fx.startFedHost(dialThrough(narrow))
 	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 1 })
 	fx.configure(withLargeRoutes)
 	fx.eventually(func() bool { return fx.logs.Count("configuration_behind") > 1 }) // the first and the large one
