schedule: an attempt that a caller cancels doesn't clear an engine's failures

What callers saw: on the own API, an engine that fails every request could go on getting some. Each caller that disconnected, or whose request was given up before its first token, reset the engine's count of consecutive failures and the length of its last ejection, as a success does.

Cause: recordOutcome took every outcome that isn't marked as failed for a success. An outcome without a first token says nothing about the engine.

Ruled out: counting such outcomes as failures; callers leave sound engines too.

Change: only an outcome with a first token clears both. TestCancelledAttemptDoesNotClearFailures failed before ("expected: true, actual: false" for the failing engine).

--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -171,7 +171,9 @@
 		en.consecutiveFailures++
 		return
 	}
-	en.consecutiveFailures, en.ejectionDuration = 0, 0
+	if outcome.TimeToFirstToken > 0 { // otherwise the caller disconnected or gave up before the engine answered
+		en.consecutiveFailures, en.ejectionDuration = 0, 0
+	}
 	en.recordLatency(now, jo, outcome)
 }
 
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -389,3 +389,37 @@
 		})
 	}
 }
+
+// startOn submits requests until one starts on the engine, and returns its identifier. The
+// requests that start on others end with an answer.
+func startOn(t *testing.T, sc *schedule.Scheduler, engine mp.EngineID, number *int) mp.RequestID {
+	t.Helper()
+	for range 100 {
+		*number++
+		rq := request(*number, 0)
+		de := sc.Submit(epoch, rq)
+		require.Equal(t, mp.ActionStart, de.Action)
+		if de.Engine == engine {
+			return rq.ID
+		}
+		sc.Done(epoch, rq.ID, mp.Outcome{AnswerTokens: 1, TimeToFirstToken: time.Millisecond})
+	}
+	require.Fail(t, "no request started", "on engine %s", engine)
+	return ""
+}
+
+// TestCancelledAttemptDoesNotClearFailures guards against an engine that fails every
+// request and is never ejected because callers disconnect in between.
+func TestCancelledAttemptDoesNotClearFailures(t *testing.T) {
+	const failing mp.EngineID = "e0"
+	sc := schedule.New()
+	sc.SetEngines(engines(3, 4))
+	number := 0
+	for range 3 {
+		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{})
+		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{Failed: true})
+	}
+	for _, en := range sc.Engines(epoch) {
+		require.Equal(t, en.ID == failing, en.Ejected, en.ID)
+	}
+}
