admission: a request that leaves the queue is taken back at the weight it was added with

What callers saw: on the own API, after a change of a class's promised rate (a new contract, or another number of live hosts) requests of that class that were cancelled or expired moved its later ones forward or back in the queue of their tier.

Cause: Remove took the cost back divided by the present weight of the flow, Push had charged it at the weight of that time.

Change: an item keeps what its flow was charged. Without a change of weight nothing differs. TestRemovalAfterAWeightChangeLeavesNoTrace failed before: with weight 1 in between, changed-2 was served before other-2.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -36,6 +36,7 @@
 	Deadline time.Time
 
 	startTag float64        // virtual start time
+	service  float64        // virtual time that the flow was charged: the cost divided by its weight
 	sequence uint64         // order of arrival
 	index    [heapCount]int // position in each heap
 }
@@ -94,7 +95,8 @@
 	qu.sequence++
 	it.sequence = qu.sequence
 	it.startTag = max(fq.virtualTime, it.Flow.finishTag)
-	it.Flow.finishTag = it.startTag + float64(it.Cost)/max(it.Flow.Weight, 1)
+	it.service = float64(it.Cost) / max(it.Flow.Weight, 1)
+	it.Flow.finishTag = it.startTag + it.service
 	fq.cost += it.Cost
 	qu.items[it.ID] = it
 	heap.Push(&fq.itemHeap, it)
@@ -137,7 +139,7 @@
 	if !ok {
 		return nil
 	}
-	it.Flow.finishTag -= float64(it.Cost) / max(it.Flow.Weight, 1)
+	it.Flow.finishTag -= it.service
 	qu.remove(it)
 	return it
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -125,3 +125,30 @@
 		require.LessOrEqual(rt, max(difference, -difference), bound+1e-6)
 	})
 }
+
+// TestRemovalAfterAWeightChangeLeavesNoTrace guards against a class that is served too
+// early or too late because a request that left the queue is taken back at another weight
+// than it was added with.
+func TestRemovalAfterAWeightChangeLeavesNoTrace(t *testing.T) {
+	for _, weight := range []float64{1, 10, 1000} {
+		qu := admission.New()
+		changed, other := &admission.Flow{Weight: 10}, &admission.Flow{Weight: 10}
+		push := func(id mp.RequestID, flow *admission.Flow) {
+			qu.Push(&admission.Item{ID: id, Cost: 100, Flow: flow, Deadline: epoch})
+		}
+		push("changed-1", changed)
+		push("gone", changed)
+		changed.Weight = weight
+		qu.Remove("gone")
+		changed.Weight = 10
+		push("other-1", other)
+		push("other-2", other)
+		push("changed-2", changed)
+		push("other-3", other)
+		var served []mp.RequestID
+		for qu.Len() > 0 {
+			served = append(served, qu.Pop().ID)
+		}
+		require.Equal(t, []mp.RequestID{"changed-1", "other-1", "other-2", "changed-2", "other-3"}, served, "weight %v", weight)
+	}
+}
