serverlist, publish, replay: a region's engines are shared by the hosts of all its data centres

What callers saw: on the own API, in a region of several data centres, requests waited until their maximum wait was over where they should have been refused at once: the expected wait was too short by the number of data centres. Until an engine reported its load, its occupancy was guessed too low by the same factor.

Cause: the scheduler divides the throughput of all engines of the region, but was told the live hosts of its own data centre.

Change: serverlist also counts the live hosts of the region and publish passes that number on; shares are still split over the data centre's hosts. The replay does the same; the examples have one data centre a region, so their replays don't change.

--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -48,6 +48,9 @@
 	Machines mp.MachineList
 	// LiveHosts is the number of live entry hosts in the data centre.
 	LiveHosts int
+	// LiveRegionHosts is the number of live entry hosts in the region of the data centre,
+	// which share its engines.
+	LiveRegionHosts int
 	// DrainingServers holds the engines and replicas that get no new requests, by
 	// name.
 	DrainingServers map[string]bool
@@ -65,7 +68,7 @@
 
 // New returns the initial board of a host.
 func New(host mp.HostID, dc mp.DataCentreID) *Board {
-	return &Board{Host: host, DataCentre: dc, LiveHosts: 1, DrainingServers: map[string]bool{}}
+	return &Board{Host: host, DataCentre: dc, LiveHosts: 1, LiveRegionHosts: 1, DrainingServers: map[string]bool{}}
 }
 
 // Message is a change of the board. Messages reach the control goroutine through a
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -35,7 +35,7 @@
 	}
 	bo.SnapshotStale = false
 	engines := schedule.EnginesOf(&bo.Config.Fleet, bo.DataCentre, bo.DrainingServers)
-	co.pool.Configure(engines, bo.LiveHosts)
+	co.pool.Configure(engines, bo.LiveRegionHosts)
 	co.view.Store(blackboard.NewSnapshot(bo))
 	return nil
 }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -160,12 +160,22 @@
 	return nil
 }
 
+// dataCentresOfRegion returns the number of data centres in the region of one.
+func (re *replay) dataCentresOfRegion(dc mp.DataCentreID) int {
+	for _, region := range re.set.Fleet.Regions {
+		if slices.Contains(region.DataCentres, dc) {
+			return len(region.DataCentres)
+		}
+	}
+	return 1
+}
+
 // newScheduler returns a scheduler for a host in a data centre.
 func (re *replay) newScheduler(dc mp.DataCentreID, seed uint64) (mp.Scheduler, error) {
 	engines := schedule.EnginesOf(&re.set.Fleet, dc, nil)
 	switch re.policy {
 	case PolicyMangopaddle:
-		sc := schedule.New(schedule.WithHosts(re.hostsPerDataCentre), schedule.WithSeed(seed+1))
+		sc := schedule.New(schedule.WithHosts(re.hostsPerDataCentre*re.dataCentresOfRegion(dc)), schedule.WithSeed(seed+1))
 		sc.SetEngines(engines)
 		return sc, nil
 	case PolicyRoundRobin:
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -96,7 +96,8 @@
 // Option configures a Scheduler.
 type Option func(*Scheduler)
 
-// WithHosts sets the number of hosts that share the engines. The default is 1.
+// WithHosts sets the number of hosts of the region, which share its engines. The default
+// is 1.
 func WithHosts(hosts int) Option {
 	return func(sc *Scheduler) { sc.hosts = hosts }
 }
--- a/serverlist/serverlist.go
+++ b/serverlist/serverlist.go
@@ -35,9 +35,9 @@
 		bo.DrainingServers = draining
 		bo.SnapshotStale = true
 	}
-	hosts := liveHosts(bo)
-	if hosts != bo.LiveHosts {
-		bo.LiveHosts = hosts
+	hosts, regionHosts := liveHosts(bo)
+	if hosts != bo.LiveHosts || regionHosts != bo.LiveRegionHosts {
+		bo.LiveHosts, bo.LiveRegionHosts = hosts, regionHosts
 		bo.SnapshotStale = true
 	}
 	return nil
@@ -63,14 +63,26 @@
 	return draining
 }
 
-// liveHosts returns the number of live hosts in the data centre, at least one: this
-// host.
-func liveHosts(bo *blackboard.Board) int {
-	hosts := 0
+// liveHosts returns the number of live hosts in the data centre and in its region, at
+// least one: this host. Without a configuration only the data centre is known.
+func liveHosts(bo *blackboard.Board) (dataCentre, region int) {
 	for _, ho := range bo.Machines.Hosts {
-		if ho.DataCentre == bo.DataCentre && ho.State == mp.MachineLive {
-			hosts++
+		if ho.State != mp.MachineLive {
+			continue
+		}
+		switch {
+		case ho.DataCentre == bo.DataCentre:
+			dataCentre++
+			region++
+		case bo.Config != nil && isSameRegion(&bo.Config.Fleet, ho.DataCentre, bo.DataCentre):
+			region++
 		}
 	}
-	return max(1, hosts)
+	return max(1, dataCentre), max(1, region)
+}
+
+// isSameRegion reports whether two data centres are in one region of the fleet.
+func isSameRegion(fl *config.Fleet, one, two mp.DataCentreID) bool {
+	region := fl.RegionOf(one)
+	return region != "" && region == fl.RegionOf(two)
 }
