httpserver, gateway, host: a stopping host closes no connection under a request it has read

What callers saw: in a rolling restart, a request on a kept connection was read, refused as not run, and its connection closed under the refusal. The caller got neither an answer nor a refusal, and may not repeat a request that must not run twice, although the host knew that it had not run.

Cause: at the end of the lame-duck period the gateway closed all idle connections (SetKeepAlivesEnabled, Shutdown). net/http counts a connection as idle until it has read the whole header of the next request, so one whose header is being read is closed under the handler. The host of the own API stopped with Shutdown and has the same fault.

Ruled out: a write of the refusal that fails (the handler's line says 503 and the close follows within a millisecond); the listener's backlog.

Change: httpserver.Server drains itself. Connections that wait for a request are ended by a read deadline in the past, which fails only the wait for bytes: a request that has been read goes on, and net/http sets the deadline anew. New connections are answered while requests are in flight, as before, and responses say Connection: close.

TestRequestThatIsReadAsADrainBeginsIsAnswered: with connections closed as before it fails (unexpected EOF). 60 runs under the race detector passed.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -17,9 +17,6 @@
 	stopReserve = 300 * time.Millisecond
 )
 
-// drainPollInterval is how often a stopping host checks whether requests are in flight.
-const drainPollInterval = 50 * time.Millisecond
-
 // Drain shuts the host down gracefully: it reports itself as not ready, keeps
 // accepting requests until the load balancer has removed it, and then waits for the
 // requests in flight. Until these have ended it goes on accepting connections and refuses
@@ -36,14 +33,7 @@
 	case <-ctx.Done():
 	}
 	ga.refusing.Store(true)
-	ga.callerServer.SetKeepAlivesEnabled(false)
-	for ga.inFlight.Load() > 0 && ctx.Err() == nil {
-		select {
-		case <-ga.clock.After(drainPollInterval):
-		case <-ctx.Done():
-		}
-	}
-	if err := ga.callerServer.Shutdown(ctx); err != nil {
+	if err := ga.callerServer.Drain(ctx, func() bool { return ga.inFlight.Load() > 0 }); err != nil {
 		return errors.Annotatef(err, "%d requests still in flight at shutdown", ga.inFlight.Load())
 	}
 	ga.logger.Info().Str("event", "stopped").Msg("host drained")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,7 @@
 	// maintainedAt is the time of the last maintenance run. Only the maintenance
 	// goroutine uses it.
 	maintainedAt   time.Time
-	callerServer   *http.Server
+	callerServer   *httpserver.Server
 	cleanups       []func()
 	listenerErrors chan error
 }
@@ -192,7 +192,7 @@
 }
 
 // serve starts an HTTP server on an address. It runs until the gateway is closed.
-func (ga *Gateway) serve(address string, handler http.Handler) (*http.Server, error) {
+func (ga *Gateway) serve(address string, handler http.Handler) (*httpserver.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/host/host.go
+++ b/host/host.go
@@ -53,7 +53,7 @@
 	view         *blackboard.View
 	loop         *control.Loop
 	meter        *meter.Meter
-	callerServer *http.Server
+	callerServer *httpserver.Server
 
 	callerAddress   net.Addr
 	operatorAddress net.Addr
@@ -193,7 +193,7 @@
 }
 
 // serve serves a handler until the host is closed.
-func (ho *Host) serve(handler http.Handler, listener net.Listener) *http.Server {
+func (ho *Host) serve(handler http.Handler, listener net.Listener) *httpserver.Server {
 	server, stop := httpserver.New(listener, handler, func(err error) { ho.listenerErrors <- err },
 		httpserver.WithHeaderTimeout(headerTimeout), httpserver.WithMaxHeaderBytes(maxHeaderBytes))
 	ho.addCleanup(stop)
@@ -254,7 +254,7 @@
 	case <-ho.clock.After(ho.settings.LameDuckPeriod):
 	case <-ctx.Done():
 	}
-	if err := ho.callerServer.Shutdown(ctx); err != nil {
+	if err := ho.callerServer.Drain(ctx, func() bool { return false }); err != nil {
 		return errors.Annotatef(err, "%d requests still in flight at shutdown", ho.meter.InFlight())
 	}
 	ho.logger.Info().Msg("host drained")
