gateway: every refusal names its request

What callers and operators saw: a request that was refused because the host was stopping, had no configuration yet or knew no route for it was answered without its identifier, and its log line had an empty one. Nobody could match the two: a request that got no answer in a rolling restart looked like one the host had never seen.

Cause: the headers were decoded behind these checks.

Change: they are decoded first; what is refused, and with which status, is decided in the same order as before (an unknown key before a malformed header). TestEveryRefusalNamesItsRequest failed before (expected "r-route", actual "").

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,6 +63,8 @@
 // service, and reads its body. If it returns an error, the request is not sent to
 // any backend server.
 func (ga *Gateway) admit(re *request) *mp.Error {
+	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
+	re.headers, re.segments = headers, sharedSegments(headers)
 	table := re.snapshot.Table
 	if table == nil {
 		return mp.NewError(mp.KindNotConfigured, "no configuration yet")
@@ -75,8 +77,6 @@
 		return mp.NewError(mp.KindNotFound, "no route for host %q and path %q in configuration %d", re.rq.Host, path(re.rq), table.Version)
 	}
 	re.route = route
-	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
-	re.headers, re.segments = headers, sharedSegments(headers)
 	if !route.Public && table.RequiresAPIKey() {
 		organisation, ok := table.OrganisationByAPIKey(headers.APIKey)
 		if !ok {
