backend, gateway: the log tells a silent server from a late host

A read that fails at its deadline says whether the server's bytes lay unread in the socket; stream_broken says for how long no event came, how much time was left, and how many attempts and servers were used up. Without these, a server that is silent and a host that is late leave the same line (hypotheses 1 and 2 of docs/incidents/2026-12-05-request-without-answer.md).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -57,6 +58,8 @@
 type limitedReader struct {
 	reader    io.Reader
 	remaining int64 // bytes; negative for no limit
+	// unread reports whether the connection holds bytes that were not read yet.
+	unread func() bool
 }
 
 // Read implements io.Reader. It returns ErrMalformed once the limit is reached.
@@ -71,12 +74,16 @@
 	if lr.remaining > 0 {
 		lr.remaining -= int64(count)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && lr.unread() {
+		err = errors.Annotate(err, "host late, bytes unread")
+	}
 	return count, err
 }
 
 // newConn wraps a connection that was just opened.
 func newConn(nc net.Conn, address string) *Conn {
 	co := &Conn{net: nc, address: address, limited: &limitedReader{reader: nc, remaining: -1}}
+	co.limited.unread = co.hasUnread
 	co.reader = bufio.NewReaderSize(co.limited, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		co.raw, _ = sc.SyscallConn()
@@ -103,6 +110,21 @@
 	return err == nil && open
 }
 
+// hasUnread reports whether the server has sent bytes that were not read yet. It may be
+// called while the connection is being read.
+func (co *Conn) hasUnread() bool {
+	if co.raw == nil {
+		return false
+	}
+	unread := false
+	_ = co.raw.Control(func(fd uintptr) { // fails if the connection is closed
+		var buf [1]byte
+		count, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	})
+	return unread
+}
+
 // Reused reports whether the connection has carried an earlier request, a late
 // response to which may arrive in place of the one to the present request.
 func (co *Conn) Reused() bool { return co.exchanges > 1 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -195,7 +195,10 @@
 	switch {
 	case re.stream != nil:
 		re.log(ga.logger.Warn(), "stream_broken").Str("cause", err.Error()).Str("last_event", re.stream.lastEventID()).
-			Int("attempts", re.attempts).Dur("took_ms", ga.clock.Since(re.arrived)).Msg("stream aborted before its end")
+			Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Int("servers", len(re.tried)).
+			Dur("silent_ms", re.stream.silence(ga.clock.Now())).Dur("left_ms", re.remaining(ga.clock.Now())).
+			Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).
+			Dur("took_ms", ga.clock.Since(re.arrived)).Msg("stream aborted before its end")
 		ga.counters.countBrokenStream()
 		panic(http.ErrAbortHandler) // aborts the connection, so that the stream does not look complete
 	case re.lastFailure != nil:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,14 @@
 	st.lastAt = now
 }
 
+// silence returns the time since the last relayed event; zero if there was none.
+func (st *streamState) silence(now time.Time) time.Duration {
+	if st.lastAt.IsZero() {
+		return 0
+	}
+	return now.Sub(st.lastAt)
+}
+
 // lastEventID returns the Last-Event-ID for the next attempt, or an empty string to
 // start from the beginning.
 func (st *streamState) lastEventID() string {
