gateway, hedging: a silent server is left only when another one has taken over

Callers saw streams that were aborted in the middle, and 502 in place of answers, although the server that worked on them was sound and only silent for a second or so.

Cause: silence ended the attempt. After 600 ms without an event (four times the gap target if that is longer), or 1.5 times the latency target before the first one, the read of the answer timed out and the connection to the server was closed; only then did the host ask whether another server could go on. With the retry budget spent, no other server, one that was full, gone, failing or silent itself, nothing was left to answer, and the caller's connection was aborted. A decision that can't be taken back was made before its alternative was known to work.

Fix: silence no longer ends an attempt, it hedges it. The request goes to another server under the same limits as before (attempts, servers tried, retry budget, quarantine); the attempt whose answer begins takes over, and only then is the silent server left. If that goes on first, the other is left. If no other one may be asked or those asked fail, the silent one stays, and others are tried again after each further timeout. Package hedging decides, without I/O; the placer learns of the silence at once, as of a failure before. Of two servers one is closed when the other one's header comes, so that not both go on (TWICE). A read that this host is late with is no silence: bytes in the socket are looked for first.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -58,8 +57,6 @@
 type limitedReader struct {
 	reader    io.Reader
 	remaining int64 // bytes; negative for no limit
-	// unread reports whether the connection holds bytes that were not read yet.
-	unread func() bool
 }
 
 // Read implements io.Reader. It returns ErrMalformed once the limit is reached.
@@ -74,16 +71,12 @@
 	if lr.remaining > 0 {
 		lr.remaining -= int64(count)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && lr.unread() {
-		err = errors.Annotate(err, "host late, bytes unread")
-	}
 	return count, err
 }
 
 // newConn wraps a connection that was just opened.
 func newConn(nc net.Conn, address string) *Conn {
 	co := &Conn{net: nc, address: address, limited: &limitedReader{reader: nc, remaining: -1}}
-	co.limited.unread = co.hasUnread
 	co.reader = bufio.NewReaderSize(co.limited, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		co.raw, _ = sc.SyscallConn()
@@ -110,9 +103,9 @@
 	return err == nil && open
 }
 
-// hasUnread reports whether the server has sent bytes that were not read yet. It may be
+// HasUnread reports whether the server has sent bytes that were not read yet. It may be
 // called while the connection is being read.
-func (co *Conn) hasUnread() bool {
+func (co *Conn) HasUnread() bool {
 	if co.raw == nil {
 		return false
 	}
@@ -156,19 +149,11 @@
 
 // Send writes a request and reads the header of its response. The connection is
 // closed when the context ends. The function matches reports whether a response
-// belongs to the request. The header must arrive within readTimeout, unless
-// that is zero; the deadline also applies to the body until SetReadDeadline
-// changes it. After an error, the server may or may not have run the request.
-func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, readTimeout time.Duration, matches func(*http.Response) bool) (*Exchange, error) {
+// belongs to the request. After an error, the server may or may not have run the request.
+func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, matches func(*http.Response) bool) (*Exchange, error) {
 	co.exchanges++
-	if readTimeout > 0 {
-		_ = co.net.SetReadDeadline(time.Now().Add(readTimeout))
-	}
 	ex := &Exchange{conn: co, pool: po}
-	ex.stop = context.AfterFunc(ctx, func() {
-		co.broken.Store(true)
-		_ = co.net.Close()
-	})
+	ex.stop = context.AfterFunc(ctx, co.Interrupt)
 	if err := co.write(rq, body); err != nil {
 		ex.Abort()
 		return nil, errors.Trace(err)
@@ -230,10 +215,11 @@
 	return nil, errors.Trace(ErrNoMatchingResponse)
 }
 
-// SetReadDeadline sets the deadline for further reads of the response; the zero
-// time removes it.
-func (ex *Exchange) SetReadDeadline(at time.Time) error {
-	return ex.conn.net.SetReadDeadline(at)
+// Interrupt closes a connection that another goroutine sends on or reads from, which gets
+// an error.
+func (co *Conn) Interrupt() {
+	co.broken.Store(true)
+	_ = co.net.Close()
 }
 
 // AtEnd reports whether the response ends where it was read to. It may wait for the
@@ -265,7 +251,6 @@
 		return
 	}
 	ex.finished = true
-	_ = co.net.SetReadDeadline(time.Time{})
 	ex.pool.put(co, idleTimeout)
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -115,6 +115,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// IsInterrupted reports whether an error of an exchange means that this host closed the
+// connection.
+func IsInterrupted(err error) bool { return errors.Is(err, net.ErrClosed) }
+
 // IsRefused reports whether an error of Get or Probe means that nothing listens at the
 // address.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -102,59 +102,111 @@
 	return after
 }
 
-// attempt sends the request to a backend server and relays the response.
-func (ga *Gateway) attempt(ctx context.Context, re *request, ch placement.Choice) result {
-	firstEventSeen := false
-	started := ga.clock.Now()
-	res := ga.exchange(ctx, re, ch, &firstEventSeen)
+// attempt sends the request to a backend server and relays the response. If that server is
+// silent and another one takes over, it relays the response of that one; it returns the
+// choice of the server that was last.
+func (ga *Gateway) attempt(ctx context.Context, re *request, ch placement.Choice) (placement.Choice, result) {
+	at := &attempt{choice: ch, startedAt: ga.clock.Now()}
+	for {
+		res, winner := ga.hedgedExchange(ctx, re, at)
+		ga.endAttempt(ctx, re, at, res)
+		if res.mayHaveRun {
+			re.mayHaveRun = true
+		}
+		if winner == nil {
+			return at.choice, res
+		}
+		re.exclude(at.choice.Server.ID)
+		ga.logFailedAttempt(re, at.choice, res, "taken over by "+string(winner.choice.Server.ID))
+		at = winner
+	}
+}
+
+// hedgedExchange makes an attempt with a hedge. It returns the attempt that takes over if
+// its server fails; nil if none does.
+func (ga *Gateway) hedgedExchange(ctx context.Context, re *request, at *attempt) (result, *attempt) {
+	re.hedge = ga.startHedge(ctx, re, at)
+	defer re.hedge.close()
+	res := ga.exchange(ctx, re, at)
+	if res.done {
+		return res, nil
+	}
+	winner := re.hedge.settle()
+	if winner != nil && (backend.IsInterrupted(res.err) || errors.Is(res.err, errTakenOver)) {
+		res.outcome, res.err = placement.Cancelled, errTakenOver // the placer knows of the silence
+	}
+	return res, winner
+}
+
+// endAttempt closes an attempt and tells the placer and the inspector how it ended.
+func (ga *Gateway) endAttempt(ctx context.Context, re *request, at *attempt, res result) {
+	at.close()
 	if ctx.Err() != nil && res.outcome != placement.Succeeded {
 		res.outcome = placement.Cancelled
 	}
 	ga.placerMu.Lock()
-	ga.placer.RecordEnd(ga.clock.Now(), ch, firstEventSeen, res.outcome)
+	ga.placer.RecordEnd(ga.clock.Now(), at.choice, at.firstEventSeen, res.outcome)
 	ga.placerMu.Unlock()
-	if res.mayHaveRun {
-		re.mayHaveRun = true
-	}
 	if len(re.segments) > 0 && ctx.Err() == nil && backend.IsBrokenOff(res.err) {
 		ga.inspector.submit(brokenAttempt{
-			request: re.headers.ID, server: ch.Server, segments: re.segments,
-			startedAt: started, endedAt: ga.clock.Now(),
+			request: re.headers.ID, server: at.choice.Server, segments: re.segments,
+			startedAt: at.startedAt, endedAt: ga.clock.Now(),
 		})
 	}
-	return res
 }
 
-// exchange sends the request on a pooled or new connection and relays the response. It
-// sets firstEventSeen when the first event or the whole buffered response has arrived.
-func (ga *Gateway) exchange(ctx context.Context, re *request, ch placement.Choice, firstEventSeen *bool) result {
-	co, err := ga.backends.Get(ctx, ch.Server.Address, re.maxIdle())
-	if err != nil {
-		return result{outcome: placement.Unreachable, err: err}
-	}
-	re.attempts++
-	sent := ga.clock.Now()
-	// The headers of the response that Send returns, the last one passed to matches.
-	var headers platform.ResponseHeaders
-	matches := func(response *http.Response) bool {
-		headers = platform.DecodeResponseHeaders(response)
-		return re.matches(headers, co.Reused())
-	}
-	ex, err := co.Send(ctx, ga.backends, re.backendRequest(ch, sent), re.body, re.responseTimeout(ch), matches)
-	if err != nil {
-		return result{outcome: placement.Failed, mayHaveRun: true, err: err}
+// exchange sends the request unless a hedge has done so, and relays the response.
+func (ga *Gateway) exchange(ctx context.Context, re *request, at *attempt) result {
+	if at.exchange == nil {
+		if res := ga.connect(ctx, re, at); res != nil {
+			return *res
+		}
+		re.attempts++
+		rq := re.backendRequest(at.choice, at.sentAt)
+		re.hedge.release(re.responseTimeout(at.choice))
+		if res := ga.send(ctx, re, at, rq); res != nil {
+			return *res
+		}
+	} else {
+		re.hedge.release(re.responseTimeout(at.choice))
 	}
-	defer ex.Abort()
+	defer at.close()
 	recordFirstEvent := func() {
-		if !*firstEventSeen {
-			*firstEventSeen = true
+		if !at.firstEventSeen {
+			at.firstEventSeen = true
 			now := ga.clock.Now()
 			ga.placerMu.Lock()
-			ga.placer.RecordFirstEvent(now, ch, now.Sub(sent))
+			ga.placer.RecordFirstEvent(now, at.choice, now.Sub(at.sentAt))
 			ga.placerMu.Unlock()
 		}
 	}
-	return ga.relay(re, ch, ex, recordFirstEvent, headers)
+	return ga.relay(re, at.choice, at.exchange, recordFirstEvent, at.headers)
+}
+
+// connect takes a pooled connection or opens a new one. It returns nil, or the result of
+// the failed attempt.
+func (ga *Gateway) connect(ctx context.Context, re *request, at *attempt) *result {
+	co, err := ga.backends.Get(ctx, at.choice.Server.Address, re.maxIdle())
+	if err != nil {
+		return &result{outcome: placement.Unreachable, err: err}
+	}
+	at.conn, at.sentAt = co, ga.clock.Now()
+	return nil
+}
+
+// send sends the request on the connection of an attempt and reads the header of the
+// response. It returns nil, or the result of the failed attempt.
+func (ga *Gateway) send(ctx context.Context, re *request, at *attempt, rq *http.Request) *result {
+	matches := func(response *http.Response) bool {
+		at.headers = platform.DecodeResponseHeaders(response) // those of the response that Send returns stay
+		return re.matches(at.headers, at.conn.Reused())
+	}
+	ex, err := at.conn.Send(ctx, ga.backends, rq, re.body, matches)
+	if err != nil {
+		return &result{outcome: placement.Failed, mayHaveRun: true, err: err}
+	}
+	at.exchange = ex
+	return nil
 }
 
 // maxIdle returns the longest idle time of a connection that may be reused.
@@ -173,8 +225,8 @@
 )
 
 // responseTimeout returns the timeout for the first event of a stream, or for the whole
-// response if it is not a stream, after which the attempt is abandoned for another
-// server; zero for none. It applies only to repeatable requests that have attempts left.
+// response if it is not a stream, after which another server is asked too; zero for none.
+// It applies only to repeatable requests that have attempts left.
 func (re *request) responseTimeout(ch placement.Choice) time.Duration {
 	if !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.LatencyTarget <= 0 {
 		return 0
@@ -249,6 +301,10 @@
 	if err != nil {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "body of the answer")}
 	}
+	if !re.hedge.acquire() {
+		return takenOver()
+	}
+	re.hedge.goOn()
 	if len(body) > maxBufferedBytes {
 		return ga.relayUnbuffered(re, ch, ex, body)
 	}
@@ -293,20 +349,30 @@
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
 
+// takenOver returns the result of an attempt whose request another server goes on with.
+func takenOver() result {
+	return result{outcome: placement.Cancelled, mayHaveRun: true, err: errTakenOver}
+}
+
 // checkRetry logs a failed attempt and decides whether to retry. It returns nil
 // for a retry, and otherwise the reason against it.
 func (ga *Gateway) checkRetry(ctx context.Context, re *request, ch placement.Choice, res result) *mp.Error {
-	re.tried = append(re.tried, ch.Server.ID)
+	re.exclude(ch.Server.ID)
 	reason := ga.retryRefusal(ctx, re, res)
 	outcome := "retried"
 	if reason != nil {
 		outcome = reason.Kind.String()
 	}
 	ga.counters.countFailedAttempt(outcome)
+	ga.logFailedAttempt(re, ch, res, outcome)
+	return reason
+}
+
+// logFailedAttempt logs why an attempt failed and what follows.
+func (ga *Gateway) logFailedAttempt(re *request, ch placement.Choice, res result, outcome string) {
 	re.log(ga.logger.Info(), "attempt_failed").Str("server", string(ch.Server.ID)).Str("route", string(re.route.Name)).
 		Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Bool("reached", res.mayHaveRun).
 		Str("cause", res.err.Error()).Str("outcome", outcome).Dur("took_ms", ga.clock.Since(re.arrived)).Msg("attempt failed")
-	return reason
 }
 
 // retryRefusal returns the reason not to retry a failed attempt, or nil.
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -48,6 +48,12 @@
 // newFixture starts a gateway with a fake store that lists the servers of the two
 // services.
 func newFixture(t *testing.T, app, engines []*fakeserver.Server, opts ...gateway.Option) *fixture {
+	t.Helper()
+	return newFixtureWith(t, nil, app, engines, opts...)
+}
+
+// newFixtureWith is newFixture with changed settings.
+func newFixtureWith(t *testing.T, change func(*gateway.Settings), app, engines []*fakeserver.Server, opts ...gateway.Option) *fixture {
 	t.Helper()
 	fx := &fixture{t: t, store: fakestore.New(), logs: &testkit.LogBuffer{}}
 	storeServer := httptest.NewServer(fx.store)
@@ -59,6 +65,9 @@
 		StopTimeout:  mp.Duration(8 * time.Second), MaxConfigDelay: mp.Duration(3 * time.Second), MaxDrainDelay: mp.Duration(3 * time.Second),
 		RetryRatio: 1, RetryWindow: mp.Duration(10 * time.Second), RetrySlack: 1000,
 	}
+	if change != nil {
+		change(&fx.settings)
+	}
 	for ix, se := range app {
 		fx.putServer(fmt.Sprintf("app-%d", ix), "app", se.Address(), "ready")
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,7 +177,7 @@
 			ga.fail(ctx, re, err)
 			return
 		}
-		result := ga.attempt(ctx, re, ch)
+		ch, result := ga.attempt(ctx, re, ch)
 		if result.done {
 			return
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,6 +52,8 @@
 	stream *streamState
 	// status is the status code of the streamed response.
 	status int
+	// hedge is that of the present attempt.
+	hedge *hedge
 }
 
 // bufferedResponse is a response that was read completely.
@@ -87,6 +90,13 @@
 	}
 }
 
+// exclude excludes a server from further attempts.
+func (re *request) exclude(server mp.ServerID) {
+	if !slices.Contains(re.tried, server) {
+		re.tried = append(re.tried, server)
+	}
+}
+
 // repeatable reports whether the request may be sent again after a backend server
 // may have run it.
 func (re *request) repeatable() bool {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -74,11 +74,20 @@
 	pending := make([]byte, 0, streamBufferBytes)
 	chunk := make([]byte, streamBufferBytes)
 	progress := &answerProgress{}
-	re.setStreamIdleDeadline(ex)
+	if !re.hedge.acquire() {
+		return takenOver()
+	}
+	if re.hasBegun() {
+		re.hedge.restart()
+	}
+	re.hedge.release(re.idleTimeout(ch))
 	for {
 		count, err := ex.Response.Body.Read(chunk)
 		pending = append(pending, chunk[:count]...)
 		if bytes.Contains(pending, eventSeparator) {
+			if !re.hedge.acquire() {
+				return takenOver()
+			}
 			relayed, cause := ga.relayEvents(re, ex, pending)
 			if cause != nil {
 				return ga.streamFailure(re, ch, cause)
@@ -87,11 +96,14 @@
 				recordFirstEvent()
 				ga.recordProgress(re, progress, false)
 				pending = append(pending[:0], pending[relayed:]...)
-				re.setStreamIdleDeadline(ex)
 			}
+			re.hedge.release(re.idleTimeout(ch))
 		}
 		switch {
 		case err == io.EOF:
+			if !re.hedge.acquire() {
+				return takenOver()
+			}
 			ga.recordProgress(re, progress, endsWithEvent(pending) && re.hasAnyEvent())
 			return ga.finishStream(re, ch, ex, pending, headers.IdleTimeout)
 		case err != nil:
@@ -103,29 +115,30 @@
 }
 
 const (
-	// The idle timeout of a resumable stream, after which it is resumed on another
-	// server, is streamIdleGapFactor times the route's event gap target, and at least
-	// minStreamIdleTimeout.
+	// The idle timeout of a resumable stream, after which another server is asked to
+	// go on with it, is streamIdleGapFactor times the route's event gap target, and at
+	// least minStreamIdleTimeout.
 	streamIdleGapFactor  = 4
 	minStreamIdleTimeout = 600 * time.Millisecond
 )
 
-// setStreamIdleDeadline applies the idle timeout to a resumable stream that has
-// attempts left; other streams have none. It is set again after each relayed event and
-// not for single bytes, which a stalled server may go on sending. Until an attempt has
-// relayed the first event of the request, responseTimeout applies instead.
-func (re *request) setStreamIdleDeadline(ex *backend.Exchange) {
-	if re.stream == nil || re.stream.firstAt.IsZero() {
-		return
-	}
-	if !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.EventGapTarget <= 0 {
-		_ = ex.SetReadDeadline(time.Time{}) // the next read returns the error of a closed connection
-		return
+// idleTimeout returns the idle timeout of a resumable stream that has attempts left; zero
+// for other streams. It is measured from each relayed event and not from single bytes,
+// which a stalled server may go on sending. Until an attempt has relayed the first event
+// of the request, it is the responseTimeout.
+func (re *request) idleTimeout(ch placement.Choice) time.Duration {
+	switch {
+	case !re.hasBegun():
+		return re.responseTimeout(ch)
+	case !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.EventGapTarget <= 0:
+		return 0
 	}
-	timeout := max(minStreamIdleTimeout, streamIdleGapFactor*re.route.EventGapTarget)
-	_ = ex.SetReadDeadline(time.Now().Add(timeout))
+	return max(minStreamIdleTimeout, streamIdleGapFactor*re.route.EventGapTarget)
 }
 
+// hasBegun reports whether an event has been relayed.
+func (re *request) hasBegun() bool { return re.stream != nil && !re.stream.firstAt.IsZero() }
+
 // streamFailure returns the result of a failed stream. A failed write to the caller
 // ends the request; an error in the order of events fails only the attempt.
 func (ga *Gateway) streamFailure(re *request, ch placement.Choice, cause error) result {
@@ -149,6 +162,7 @@
 	accepted, cause := re.stream.acceptEvents(data)
 	if len(accepted) > 0 {
 		re.stream.recordRelayed(ga.clock.Now())
+		re.hedge.goOn()
 		if err := ga.writeAndFlush(re, accepted); err != nil {
 			return 0, err
 		}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -313,9 +313,7 @@
 	case Succeeded:
 		se.recordSuccess(now)
 	case Failed:
-		if se.recordFailure(now) && pl.mayEject(now, se) {
-			se.eject(now)
-		}
+		pl.recordFailure(now, se)
 	case Unreachable, Misdirected:
 		se.backOff(now)
 	case Rejected:
@@ -324,6 +322,21 @@
 	}
 }
 
+// RecordSilence records that the server of a request is silent, which counts as a failure.
+// The request goes on.
+func (pl *Placer) RecordSilence(now time.Time, ch Choice) {
+	if se, ok := pl.servers[ch.Server.ID]; ok {
+		pl.recordFailure(now, se)
+	}
+}
+
+// recordFailure counts a failure of a server and ejects it if there were too many.
+func (pl *Placer) recordFailure(now time.Time, se *server) {
+	if se.recordFailure(now) && pl.mayEject(now, se) {
+		se.eject(now)
+	}
+}
+
 // maxAvoidedDivisor bounds ejection: a server is not ejected if this would leave
 // more than one in this many servers of its service avoided.
 const maxAvoidedDivisor = 2
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -307,3 +307,26 @@
 		}
 	})
 }
+
+// TestSilentServersAreAvoided guards against servers that get request after request although
+// they are silent, while their requests go on.
+func TestSilentServersAreAvoided(t *testing.T) {
+	pl := placement.New()
+	pl.SetServers(replicas(4))
+	rq := &placement.Request{Service: "app"}
+	silent, ok := pl.Choose(start, rq)
+	require.True(t, ok)
+	for range 3 {
+		pl.RecordStart(silent)
+		pl.RecordSilence(start, silent)
+	}
+	for range 20 {
+		ch, ok := pl.Choose(start, rq)
+		require.True(t, ok)
+		require.NotEqual(t, silent.Server.ID, ch.Server.ID)
+	}
+	for range 3 {
+		pl.RecordEnd(start, silent, true, placement.Succeeded)
+	}
+	require.Empty(t, pl.Loads())
+}
