gateway, placement: a server that says it leaves gets no more requests

Callers could be sent to a server that had said in its answers that it was about to stop (Server-Leaving: 1), for as long as the list went on calling it ready: with the store away, behind, or an entry that never says so, up to the server's exit, where their requests broke off.

Cause: the header wasn't read. Only the list took a server out of use.

The word is now recorded for one start of the server (ID and start time) with the header of any answer, before the answer is relayed: whole answers, streams, refusals, failures, answers that break off, late answers to other requests. It holds while the entry is missing and ends with a new start. Idle connections to the server are closed. If all servers of a service leave they go on for half the drain time, then the host refuses with Retry-After. Engines that leave are no longer counted among those reserved for jitter-sensitive streams. Why other hosts aren't told stands in docs/design/platform.md.

Ruled out: that the answer of another server at a reused address marks the wrong one (421 isn't read), and that a late word of a former start marks the new one; both have tests.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -247,6 +247,9 @@
 	ex.pool.put(co, idleTimeout)
 }
 
+// CloseAfterUse keeps the connection from being used again after the exchange.
+func (ex *Exchange) CloseAfterUse() { ex.conn.broken.Store(true) }
+
 // bodySent reports whether the whole request was written.
 func (co *Conn) bodySent() bool {
 	if co.bodyWritten == nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -89,7 +89,7 @@
 	}
 	nc, err := po.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		po.closeIdleTo(address)
+		po.CloseIdleTo(address)
 		return nil, errors.Annotatef(err, "connection to %s", address)
 	}
 	po.mu.Lock()
@@ -219,8 +219,9 @@
 	clear(po.idle)
 }
 
-// closeIdleTo closes the idle connections to a server that can't be reached.
-func (po *Pool) closeIdleTo(address string) {
+// CloseIdleTo closes the idle connections to a server that can't be reached or is about to
+// stop.
+func (po *Pool) CloseIdleTo(address string) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	for _, co := range po.idle[address] {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -138,6 +138,7 @@
 	var headers platform.ResponseHeaders
 	matches := func(response *http.Response) bool {
 		headers = platform.DecodeResponseHeaders(response)
+		ga.recordNotices(re, ch, headers)
 		return re.matches(headers, co.Reused())
 	}
 	ex, err := co.Send(ctx, ga.backends, re.backendRequest(ch, sent), re.body, re.responseTimeout(ch), matches)
@@ -145,6 +146,9 @@
 		return result{outcome: placement.Failed, mayHaveRun: true, err: err}
 	}
 	defer ex.Abort()
+	if headers.Leaving {
+		ex.CloseAfterUse()
+	}
 	recordFirstEvent := func() {
 		if !*firstEventSeen {
 			*firstEventSeen = true
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -26,6 +26,7 @@
 	responses      map[responseKey]tally.Counter
 	refusals       map[mp.Kind]tally.Counter
 	failedAttempts map[string]tally.Counter
+	notices        map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
 	firstEvent     tally.Histogram
 }
@@ -42,6 +43,7 @@
 		responses:      map[responseKey]tally.Counter{},
 		refusals:       map[mp.Kind]tally.Counter{},
 		failedAttempts: map[string]tally.Counter{},
+		notices:        map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
 		firstEvent:     scope.Histogram("stream_first_event_seconds", latencyBuckets),
 	}
@@ -97,6 +99,15 @@
 	}).Inc(1)
 }
 
+// countNotice counts a notice that a server gave of itself: "leaving".
+func (co *counters) countNotice(kind string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.notices, kind, "server_notices", func() map[string]string {
+		return map[string]string{"kind": kind}
+	}).Inc(1)
+}
+
 // countBrokenStream counts a stream that was aborted before its end.
 func (co *counters) countBrokenStream() {
 	co.scope.Counter("streams_broken").Inc(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,11 @@
 // maintenanceInterval is the time between two maintenance runs.
 const maintenanceInterval = time.Second
 
+// leavingGraceDivisor is the fraction of the drain delay in which a server that has said
+// that it is about to stop still gets requests if there is no other: it may have begun to
+// drain before this host heard of it.
+const leavingGraceDivisor = 2
+
 // Gateway is one entry host: a reverse proxy that routes callers' requests to backend
 // servers.
 type Gateway struct {
@@ -131,7 +136,8 @@
 	ga.startedAt = ga.clock.Now()
 	ga.sharesReads = follow.SharesReads(settings.maxDelay())
 	ga.hasOtherSeeds = len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.PeerAddress)
-	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad))
+	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad),
+		placement.WithLeavingGrace(settings.MaxDrainDelay.Std()/leavingGraceDivisor))
 	if err := ga.start(); err != nil {
 		ga.close()
 		return nil, nil, errors.Trace(err)
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -23,6 +23,7 @@
 			ID:                    se.ID,
 			Service:               se.Service,
 			Address:               se.Address,
+			StartedAtMillis:       se.StartedAtMillis,
 			Slots:                 se.Slots,
 			Distance:              ga.distance(se.DataCentre),
 			IsEngine:              ok && service.Engine != nil,
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -123,6 +123,9 @@
 	// reservations holds the engines that are reserved for jitter-sensitive
 	// streams, by service.
 	reservations map[mp.ServiceName]*reservation
+	// notices holds what servers have said of themselves, whether they are listed or not.
+	notices      map[lifetime]*notice
+	leavingGrace time.Duration
 }
 
 // Option configures a placer.
@@ -157,6 +160,7 @@
 		services: map[mp.ServiceName][]*server{},
 
 		reservations: map[mp.ServiceName]*reservation{},
+		notices:      map[lifetime]*notice{},
 	}
 	for _, opt := range opts {
 		opt(pl)
@@ -179,16 +183,32 @@
 		services[description.Service] = append(services[description.Service], se)
 	}
 	pl.servers, pl.services = kept, services
-	reservations := make(map[mp.ServiceName]*reservation, len(services))
-	for name, group := range services {
-		re, ok := pl.reservations[name]
-		if !ok {
-			re = &reservation{}
+	for name := range pl.reservations {
+		if _, ok := services[name]; !ok {
+			delete(pl.reservations, name)
 		}
-		re.setEngines(group)
-		reservations[name] = re
 	}
-	pl.reservations = reservations
+	for name := range services {
+		pl.updateReservation(name)
+	}
+}
+
+// updateReservation decides anew which engines of a service are reserved, of those that
+// stay.
+func (pl *Placer) updateReservation(service mp.ServiceName) {
+	engines, ok := pl.services[service]
+	if !ok {
+		return
+	}
+	re, ok := pl.reservations[service]
+	if !ok {
+		re = &reservation{}
+		pl.reservations[service] = re
+	}
+	for _, se := range engines {
+		se.reserved = false
+	}
+	re.setEngines(pl.staying(engines))
 }
 
 // ReservedEngines returns the number of engines of a service that are reserved for
@@ -218,23 +238,30 @@
 }
 
 // candidates returns the servers that may get the request: those that are not
-// avoided, or all of them if every one is avoided. Excluded servers are never
-// returned.
+// avoided, or all of them if every one is avoided. Servers that are about to stop are
+// returned only if there are no others and their grace isn't over. Excluded servers are
+// never returned.
 func (pl *Placer) candidates(now time.Time, rq *Request) []*server {
-	var healthy, avoided []*server
+	var healthy, avoided, leaving []*server
 	for _, se := range pl.services[rq.Service] {
 		switch {
 		case slices.Contains(rq.Exclude, se.ID):
+		case pl.isLeaving(se):
+			if pl.maySendToLeaving(now, se) {
+				leaving = append(leaving, se)
+			}
 		case se.isAvoided(now):
 			avoided = append(avoided, se)
 		default:
 			healthy = append(healthy, se)
 		}
 	}
-	if len(healthy) > 0 {
-		return healthy
+	for _, group := range [...][]*server{healthy, avoided} {
+		if len(group) > 0 {
+			return group
+		}
 	}
-	return avoided
+	return leaving
 }
 
 // failureCost is the expected latency added to a server whose requests all
@@ -334,7 +361,7 @@
 	servers := pl.services[failing.Service]
 	avoided := 1
 	for _, se := range servers {
-		if se != failing && se.isAvoided(now) {
+		if se != failing && (se.isAvoided(now) || pl.isLeaving(se)) {
 			avoided++
 		}
 	}
--- a/placement/server.go
+++ b/placement/server.go
@@ -22,6 +22,9 @@
 	ID      mp.ServerID
 	Service mp.ServiceName
 	Address string
+	// StartedAtMillis is the server's start time in Unix milliseconds, which tells a
+	// restart under the same ID; zero if unknown.
+	StartedAtMillis int64
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 	// Distance is how far the server is from this host.
