gateway, placement: a server that asks for a pause gets no requests in it

A server that turned requests away with 503 and Retry-After got the next ones from the same host after 0.2 s, and at once if every server of its service was full: its callers were refused again and again, each time after a way to the server and back, and were then told to come back in 2 s whatever the server had said.

A 503 with Retry-After now keeps all requests of the host from that server until then, for one start of the server. If all servers of a service are in a pause, requests are refused at once as not run, with the time until the first is back and a spread after it in which the more urgent callers return first.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,9 +61,7 @@
 	}
 	ga.placerMu.Unlock()
 	if !ok {
-		refusal := mp.NewError(mp.KindNoBackend, "no backend server of service %q", re.service)
-		refusal.RetryAfter = noBackendRetryAfter
-		return ch, refusal
+		return ch, ga.noServerRefusal(re)
 	}
 	if late > 0 && !re.mayHaveRun {
 		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q behind %v of other prompts, %v in the mean, %v too late",
@@ -138,8 +136,9 @@
 	var headers platform.ResponseHeaders
 	matches := func(response *http.Response) bool {
 		headers = platform.DecodeResponseHeaders(response)
-		ga.recordNotices(re, ch, headers)
-		return re.matches(headers, co.Reused())
+		matches := re.matches(headers, co.Reused())
+		ga.recordNotices(re, ch, headers, matches)
+		return matches
 	}
 	ex, err := co.Send(ctx, ga.backends, re.backendRequest(ch, sent), re.body, re.responseTimeout(ch), matches)
 	if err != nil {
@@ -306,6 +305,9 @@
 	if reason != nil {
 		outcome = reason.Kind.String()
 	}
+	if reason != nil && reason.Kind == mp.KindOverloaded {
+		reason.RetryAfter = ga.returnDelay(re) // the default of the kind unless all servers are in a pause
+	}
 	ga.counters.countFailedAttempt(outcome)
 	re.log(ga.logger.Info(), "attempt_failed").Str("server", string(ch.Server.ID)).Str("route", string(re.route.Name)).
 		Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Bool("reached", res.mayHaveRun).
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -99,7 +99,7 @@
 	}).Inc(1)
 }
 
-// countNotice counts a notice that a server gave of itself: "leaving".
+// countNotice counts a notice that a server gave of itself: "leaving" or "pause".
 func (co *counters) countNotice(kind string) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -22,6 +22,8 @@
 	// leavingSince is when the server first said that it is about to stop; zero if it
 	// hasn't.
 	leavingSince time.Time
+	// pausedUntil is the end of the time in which it wants no requests from this host.
+	pausedUntil time.Time
 }
 
 // lifetime returns the start of the server that the description is of.
@@ -66,7 +68,7 @@
 func (pl *Placer) forgetNotices(now time.Time) {
 	for key, no := range pl.notices {
 		se, listed := pl.servers[key.id]
-		if listed = listed && se.lifetime() == key; !listed && now.Sub(no.heardAt) > noticeMemory {
+		if listed = listed && se.lifetime() == key; !listed && now.Sub(no.heardAt) > noticeMemory && now.After(no.pausedUntil) {
 			delete(pl.notices, key)
 		}
 	}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -239,13 +239,13 @@
 
 // candidates returns the servers that may get the request: those that are not
 // avoided, or all of them if every one is avoided. Servers that are about to stop are
-// returned only if there are no others and their grace isn't over. Excluded servers are
-// never returned.
+// returned only if there are no others and their grace isn't over. Excluded servers and
+// those in a pause are never returned.
 func (pl *Placer) candidates(now time.Time, rq *Request) []*server {
 	var healthy, avoided, leaving []*server
 	for _, se := range pl.services[rq.Service] {
 		switch {
-		case slices.Contains(rq.Exclude, se.ID):
+		case slices.Contains(rq.Exclude, se.ID) || pl.pauseLeft(now, se) > 0:
 		case pl.isLeaving(se):
 			if pl.maySendToLeaving(now, se) {
 				leaving = append(leaving, se)
@@ -361,7 +361,7 @@
 	servers := pl.services[failing.Service]
 	avoided := 1
 	for _, se := range servers {
-		if se != failing && (se.isAvoided(now) || pl.isLeaving(se)) {
+		if se != failing && pl.isUnavailable(now, se) {
 			avoided++
 		}
 	}
