--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -291,6 +291,29 @@
 	// crashes and blockedSound count crashed servers and refused sound requests.
 	crashes, blockedSound, sound int
 	crashTimes                   []int
+	// gossipStep is called for each millisecond; without it, all hosts tell all others at
+	// once every 100 ms.
+	gossipStep func(millis int)
+}
+
+// lateCrashes returns the number of crashes later than a number of milliseconds after the
+// fifth.
+func (pl *play) lateCrashes(contactMillis int) int {
+	late := 0
+	for ix, millis := range pl.crashTimes {
+		if ix >= 5 && millis > pl.crashTimes[4]+contactMillis {
+			late++
+		}
+	}
+	return late
+}
+
+// lastCrash returns the time of the last crash, zero if there is none.
+func (pl *play) lastCrash() int {
+	if len(pl.crashTimes) == 0 {
+		return 0
+	}
+	return pl.crashTimes[len(pl.crashTimes)-1]
 }
 
 // run plays a number of milliseconds: each has a chance of a request; poisoned is the part
@@ -303,7 +326,10 @@
 			do()
 		}
 		delete(pending, now)
-		if now%100 == 0 {
+		switch {
+		case pl.gossipStep != nil:
+			pl.gossipStep(now)
+		case now%100 == 0:
 			pl.gossip(now)
 		}
 		for chance := requestsPerMilli; chance > 0; chance-- {
@@ -367,13 +393,7 @@
 			pl.run(test.millis, test.requestsPerMilli, 0.05)
 			t.Logf("%d crashes, %d of %d sound requests refused", pl.crashes, pl.blockedSound, pl.sound)
 			require.GreaterOrEqual(t, pl.crashes, 3)
-			late := 0
-			for ix, millis := range pl.crashTimes {
-				if ix >= 5 && millis > pl.crashTimes[4]+4000 {
-					late++
-				}
-			}
-			require.LessOrEqual(t, late, 3, "crashes later than 4 s after the fifth: %v", pl.crashTimes)
+			require.LessOrEqual(t, pl.lateCrashes(4000), 3, "crashes later than 4 s after the fifth: %v", pl.crashTimes)
 			require.Less(t, float64(pl.blockedSound), 0.01*float64(pl.sound))
 		})
 	}
