peer, quarantine: a prompt of very many segments doesn't silence a host

After a server crashed under a prompt of some hundred segments, the host's load updates were refused by all others (over 256 companions in a report) or not sent at all (over 16 KB): for minutes other hosts placed requests without its load, heard of new configurations and lists later, and not of the segments that it had found guilty.

Cause: a crash is recorded against each segment with all others as companions, without a bound, and the size of the reports wasn't looked at when an update is encoded; only servers were left out of one that is too large.

A crash now counts against the first 128 segments of a prompt, and of the reports only the most urgent ones that fit into half a datagram are sent.

The tests before: TestPromptOfManySegmentsIsReportedWithinLimits: "report on segment ab9 with 1 crashes, 2999 companions, 0 findings not valid"; TestLoadUpdateWithManySuspectsStillArrives: "Condition never satisfied".

What remains: a guilty segment behind the first 128 of a prompt isn't found.

--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -34,6 +34,9 @@
 	aggregateRounds = 2
 	// maxDatagramBytes is the maximum size of an encoded update in bytes.
 	maxDatagramBytes = 16 << 10
+	// maxSuspectBytes is the maximum size in it of the reports on prompts that crash
+	// servers.
+	maxSuspectBytes = maxDatagramBytes / 2
 )
 
 // UpdateInterval returns the mean interval between two rounds of load updates in a data
@@ -262,10 +265,16 @@
 	}
 }
 
-// encodeLoadUpdate encodes an update for a datagram. If it is too large, only the servers
-// with the most load stay in it: without the others it still shows that the host is alive
-// and which versions it has. encodeLoadUpdate also returns the number of servers left.
+// encodeLoadUpdate encodes an update for a datagram. If it is too large, only the most urgent
+// reports and the servers with the most load stay in it: without the others it still shows
+// that the host is alive and which versions it has. encodeLoadUpdate also returns the
+// number of servers left.
 func encodeLoadUpdate(update LoadUpdate) ([]byte, int, error) {
+	suspects, err := mostUrgent(update.Suspects)
+	if err != nil {
+		return nil, 0, errors.Trace(err)
+	}
+	update.Suspects = suspects
 	for {
 		data, err := json.Marshal(update)
 		if err != nil || len(data) <= maxDatagramBytes {
@@ -278,6 +287,21 @@
 	}
 }
 
+// mostUrgent returns the first reports that are at most maxSuspectBytes long together.
+func mostUrgent(reports []quarantine.Report) ([]quarantine.Report, error) {
+	total := 0
+	for ix, re := range reports {
+		data, err := json.Marshal(re)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if total += len(data) + len(","); total > maxSuspectBytes {
+			return reports[:ix], nil
+		}
+	}
+	return reports, nil
+}
+
 // largestLoads returns the given number of loads with the most prompt tokens, or the most
 // streams among equals.
 func largestLoads(loads map[mp.ServerID]Load, count int) map[mp.ServerID]Load {
--- a/peer/broadcaster_test.go
+++ b/peer/broadcaster_test.go
@@ -11,15 +11,19 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/peer"
+	"github.com/mangopaddle/mangopaddle/quarantine"
 )
 
 // busyDelegate is the delegate of a host with requests at many servers.
 type busyDelegate struct {
 	recordingDelegate
 	loads      map[mp.ServerID]peer.Load
+	suspects   []quarantine.Report
 	recipients []peer.Address
 }
 
+func (bd *busyDelegate) Suspects() []quarantine.Report { return bd.suspects }
+
 func (bd *busyDelegate) LocalPeers() []peer.Address { return bd.recipients }
 func (bd *busyDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
 	return bd.loads, peer.Digest{Version: 7, ListRevision: 9}
@@ -28,23 +32,54 @@
 // TestLoadUpdateOfManyServersStillArrives guards against load updates that are dropped,
 // with the versions in them, because there are more servers than fit into a datagram.
 func TestLoadUpdateOfManyServersStillArrives(t *testing.T) {
+	const servers = 6200
+	update := sendUpdate(t, &busyDelegate{loads: loadsOf(servers)})
+	require.Equal(t, mp.Version(7), update.Version)
+	require.Equal(t, mp.Revision(9), update.ListRevision)
+	require.Contains(t, update.Loads, mp.ServerID(fmt.Sprintf("i-%010x", servers-1)), "the servers with the most load are left")
+}
+
+// TestLoadUpdateWithManySuspectsStillArrives guards against load updates that are dropped
+// because the reports on prompts that crash servers don't fit into a datagram.
+func TestLoadUpdateWithManySuspectsStillArrives(t *testing.T) {
+	var suspects []quarantine.Report
+	for ix := range 12 {
+		suspects = append(suspects, quarantine.Report{Segment: quarantine.Segment(ix), Companions: make([]quarantine.Segment, 256), Left: mp.Duration(time.Minute)})
+		for companion := range suspects[ix].Companions {
+			suspects[ix].Companions[companion] = quarantine.Segment(1<<60 + companion)
+		}
+	}
+	for _, servers := range []int{0, 10, 6200} {
+		update := sendUpdate(t, &busyDelegate{loads: loadsOf(servers), suspects: suspects})
+		require.Equal(t, mp.Version(7), update.Version)
+		require.NotEmpty(t, update.Suspects)
+		require.Equal(t, suspects[:len(update.Suspects)], update.Suspects, "the most urgent ones are left")
+		require.Equal(t, servers > 0, len(update.Loads) > 0)
+	}
+}
+
+// loadsOf returns the loads at a number of servers, the last of which has the most.
+func loadsOf(servers int) map[mp.ServerID]peer.Load {
+	loads := map[mp.ServerID]peer.Load{}
+	for ix := range servers {
+		loads[mp.ServerID(fmt.Sprintf("i-%010x", ix))] = peer.Load{PrefillTokens: mp.Tokens(ix + 1)}
+	}
+	return loads
+}
+
+// sendUpdate returns the first load update that arrives from a host.
+func sendUpdate(t *testing.T, sender *busyDelegate) peer.LoadUpdate {
+	t.Helper()
 	receiving := netip.MustParseAddrPort(loopback.Address())
 	sending := netip.AddrPortFrom(netip.MustParseAddrPort(loopback.Address()).Addr(), receiving.Port())
 	receiver := &recordingDelegate{}
 	stop, err := peer.NewLoadBroadcaster("host-1", peer.Member{}, receiving.String(), receiver, receiver)
 	require.NoError(t, err)
 	t.Cleanup(stop)
-	sender := &busyDelegate{loads: map[mp.ServerID]peer.Load{}, recipients: []peer.Address{peer.Address(receiving.String())}}
-	const servers = 6200
-	for ix := range servers {
-		sender.loads[mp.ServerID(fmt.Sprintf("i-%010x", ix))] = peer.Load{PrefillTokens: mp.Tokens(ix + 1)}
-	}
+	sender.recipients = []peer.Address{peer.Address(receiving.String())}
 	stop, err = peer.NewLoadBroadcaster("host-2", peer.Member{}, sending.String(), sender, sender)
 	require.NoError(t, err)
 	t.Cleanup(stop)
 	require.Eventually(t, func() bool { return len(receiver.received()) > 0 }, 20*time.Second, time.Millisecond)
-	update := receiver.received()[0]
-	require.Equal(t, mp.Version(7), update.Version)
-	require.Equal(t, mp.Revision(9), update.ListRevision)
-	require.Contains(t, update.Loads, mp.ServerID(fmt.Sprintf("i-%010x", servers-1)), "the servers with the most load are left")
+	return receiver.received()[0]
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -41,6 +41,9 @@
 	maxSuspects = 256
 	maxCrashes  = 8
 	maxAnswers  = 64
+	// maxSegments is the number of segments of a prompt, the first ones, that a crash is
+	// recorded against: each is stored with all others.
+	maxSegments = 128
 	// sameCrash is the difference between two reports of one crash of a server.
 	sameCrash = time.Second
 )
@@ -84,8 +87,9 @@
 func (li *List) Len() int { return len(li.suspects) }
 
 // RecordCrash records that a server crashed during an attempt on a request with the
-// segments.
+// segments, of which at most maxSegments count.
 func (li *List) RecordCrash(now time.Time, segments []Segment, crash Crash) {
+	segments = segments[:min(len(segments), maxSegments)]
 	for _, segment := range segments {
 		companions := slices.DeleteFunc(slices.Clone(segments), func(other Segment) bool { return other == segment })
 		li.add(now, segment, crash, companions)
--- a/quarantine/report_test.go
+++ b/quarantine/report_test.go
@@ -26,6 +26,23 @@
 	require.NoError(t, quarantine.Report{Segment: guilty, Left: second, SinceAge: second, Findings: 1}.Check())
 }
 
+// TestPromptOfManySegmentsIsReportedWithinLimits guards against reports that other hosts
+// refuse, and their load updates with them, after a server crashed under a prompt of
+// very many segments.
+func TestPromptOfManySegmentsIsReportedWithinLimits(t *testing.T) {
+	li := quarantine.New()
+	segments := make([]quarantine.Segment, 3000)
+	for ix := range segments {
+		segments[ix] = quarantine.Segment(ix + 1)
+	}
+	recordSeries(li, segments...)
+	reports := li.Reports(at(600))
+	require.NotEmpty(t, reports)
+	for _, report := range reports {
+		require.NoError(t, report.Check())
+	}
+}
+
 // FuzzMerge checks that any reports of other hosts leave a bounded list whose quarantines
 // all end.
 func FuzzMerge(f *testing.F) {
