--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,9 +61,7 @@
 	}
 	ga.placerMu.Unlock()
 	if !ok {
-		refusal := mp.NewError(mp.KindNoBackend, "no backend server of service %q", re.service)
-		refusal.RetryAfter = noBackendRetryAfter
-		return ch, refusal
+		return ch, ga.noServerRefusal(re)
 	}
 	if late > 0 && !re.mayHaveRun {
 		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q behind %v of other prompts, %v in the mean, %v too late",
@@ -199,13 +197,18 @@
 func (ga *Gateway) send(ctx context.Context, re *request, at *attempt, rq *http.Request) *result {
 	matches := func(response *http.Response) bool {
 		at.headers = platform.DecodeResponseHeaders(response) // those of the response that Send returns stay
-		return re.matches(at.headers, at.conn.Reused())
+		matches := re.matches(at.headers, at.conn.Reused())
+		ga.recordNotices(re, at.choice, at.headers, matches)
+		return matches
 	}
 	ex, err := at.conn.Send(ctx, ga.backends, rq, re.body, matches)
 	if err != nil {
 		return &result{outcome: placement.Failed, mayHaveRun: true, err: err}
 	}
 	at.exchange = ex
+	if at.headers.Leaving {
+		ex.CloseAfterUse()
+	}
 	return nil
 }
 
@@ -363,6 +366,9 @@
 	if reason != nil {
 		outcome = reason.Kind.String()
 	}
+	if reason != nil && reason.Kind == mp.KindOverloaded {
+		reason.RetryAfter = ga.returnDelay(re) // the default of the kind unless all servers are in a pause
+	}
 	ga.counters.countFailedAttempt(outcome)
 	ga.logFailedAttempt(re, ch, res, outcome)
 	return reason
