platform, follow: era and revision of the store in the log

Nothing read the header that counts how often the store has come back from a copy, and a list that was dropped left no line: the hypotheses on a restored store couldn't be told apart. Now there are store_restored (eras and revisions before and after), list_ignored and watch_restarted; pages carry a Position, an era and a revision. No decision has changed.

--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -139,7 +139,7 @@
 // handlePage posts the newer values of a page. A store replica that lags may return
 // older ones.
 func (wa *Watcher) handlePage(ctx context.Context, page platform.Page) {
-	wa.revision = max(wa.revision, page.Revision)
+	wa.revision = max(wa.revision, page.Position.Revision)
 	for _, it := range page.Items {
 		if it.Deleted {
 			continue // the last published value stays in use
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -219,7 +219,7 @@
 		}
 		failures = 0
 		fo.recordSuccess("watch")
-		fo.advanceWatch(page.Revision)
+		fo.advanceWatch(page.Position.Revision)
 		fo.applyChanges(page)
 	}
 }
@@ -231,6 +231,7 @@
 	defer cancel()
 	page, err := fo.store.Watch(waiting, "", after, watchTimeout)
 	if errors.Is(err, platform.ErrCompacted) {
+		fo.logger.Info().Str("event", "watch_restarted").Uint64("revision", uint64(after)).Err(err).Msg("watch can't continue; reading the list")
 		fo.watchRevision.Store(0)
 		fo.Refresh()
 	}
@@ -258,7 +259,7 @@
 // applyChanges applies the configuration and the server entries that a watch
 // reported.
 func (fo *Follower) applyChanges(page platform.Page) {
-	servers := platform.Page{Revision: page.Revision}
+	servers := platform.Page{Position: page.Position}
 	for _, it := range page.Items {
 		if strings.HasPrefix(string(it.Key), platform.ServersPrefix) {
 			servers.Items = append(servers.Items, it)
@@ -333,15 +334,15 @@
 		return configRevision, errors.Trace(err)
 	}
 	fo.submit(func(st *state) bool { return st.replaceServers(requestedAt, servers) })
-	if servers.Revision > configRevision {
+	if servers.Position.Revision > configRevision {
 		page, err := fo.store.List(ctx, platform.OperatorPrefix)
 		if err != nil {
 			return configRevision, errors.Trace(err)
 		}
 		fo.applyConfigurationFrom(page)
-		configRevision = page.Revision
+		configRevision = page.Position.Revision
 	}
-	fo.advanceWatch(servers.Revision)
+	fo.advanceWatch(servers.Position.Revision)
 	fo.submit(func(st *state) bool {
 		st.confirmConfiguration(requestedAt)
 		return false
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -79,7 +79,7 @@
 	if st.err != nil {
 		return platform.Page{}, st.err
 	}
-	page := platform.Page{Revision: st.revision}
+	page := platform.Page{Position: mp.Position{Revision: st.revision}}
 	for _, it := range st.items {
 		if strings.HasPrefix(string(it.Key), prefix) {
 			page.Items = append(page.Items, it)
--- a/follow/state.go
+++ b/follow/state.go
@@ -33,7 +33,9 @@
 type state struct {
 	logger    zerolog.Logger
 	directory *directory.Directory
-	table     *routing.Table
+	// position is that of the last list or change that was read from the store.
+	position mp.Position
+	table    *routing.Table
 	// compressed is the encoded configuration of the table, for other hosts.
 	compressed []byte
 	// configurationConfirmedAt is the last time at which the configuration is known to
@@ -144,10 +146,11 @@
 // whether the servers changed.
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
 	before := st.directory.Servers()
-	if !st.directory.Replace(now, page.Revision, st.decodeServers(page.Items)) {
+	st.logPosition(now, page.Position, SourceStore)
+	if !st.directory.Replace(now, page.Position.Revision, st.decodeServers(page.Items)) {
 		return false
 	}
-	st.logChanges(before, page.Revision, SourceStore)
+	st.logChanges(before, page.Position, SourceStore)
 	return true
 }
 
@@ -155,10 +158,11 @@
 // reports whether the servers changed.
 func (st *state) applyServerChanges(now time.Time, page platform.Page) bool {
 	before := st.directory.Servers()
-	if !st.directory.Apply(now, page.Revision, st.decodeServers(page.Items)) {
+	st.logPosition(now, page.Position, SourceStore)
+	if !st.directory.Apply(now, page.Position.Revision, st.decodeServers(page.Items)) {
 		return false
 	}
-	st.logChanges(before, page.Revision, SourceStore)
+	st.logChanges(before, page.Position, SourceStore)
 	return true
 }
 
@@ -173,7 +177,7 @@
 	if !st.directory.Replace(at, revision, servers) {
 		return false
 	}
-	st.logChanges(before, revision, SourcePeer)
+	st.logChanges(before, mp.Position{Revision: revision}, SourcePeer)
 	return true
 }
 
@@ -184,7 +188,7 @@
 	if !st.directory.Expire(now) {
 		return false
 	}
-	st.logChanges(before, st.directory.Revision(), SourceExpiry)
+	st.logChanges(before, st.position, SourceExpiry)
 	return true
 }
 
@@ -211,27 +215,43 @@
 	st.logger.Error().Str("event", "server_entry_refused").Str("server", string(id)).Err(err).Msg("cannot decode backend server entry; treating the server as removed")
 }
 
+// logPosition logs that the store has come back from a copy, or that what was read from it
+// is ignored.
+func (st *state) logPosition(now time.Time, position mp.Position, source Source) {
+	if known := st.position; known.Era != position.Era && !known.IsZero() {
+		st.logger.Warn().Str("event", "store_restored").Uint64("era_before", uint64(known.Era)).Uint64("revision_before", uint64(known.Revision)).
+			Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).
+			Int64("version_in_force", int64(st.version())).Msg("store has come back from a copy")
+	}
+	st.position = position
+	if known := st.directory.Revision(); position.Revision < known {
+		st.logger.Warn().Str("event", "list_ignored").Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
+			Uint64("revision_known", uint64(known)).Str("source", string(source)).
+			Dur("list_age_ms", now.Sub(st.directory.ConfirmedAt())).Msg("older list of backend servers ignored")
+	}
+}
+
 // logChanges logs each backend server that was added, changed or removed.
-func (st *state) logChanges(before []directory.Server, revision mp.Revision, source Source) {
+func (st *state) logChanges(before []directory.Server, position mp.Position, source Source) {
 	known := make(map[mp.ServerID]directory.Server, len(before))
 	for _, se := range before {
 		known[se.ID] = se
 	}
 	for _, se := range st.directory.Servers() {
 		if old, ok := known[se.ID]; !ok || old != se {
-			st.logServer(se, "server_listed", revision, source)
+			st.logServer(se, "server_listed", position, source)
 		}
 		delete(known, se.ID)
 	}
 	for _, se := range known {
-		st.logServer(se, "server_removed", revision, source)
+		st.logServer(se, "server_removed", position, source)
 	}
 }
 
-func (st *state) logServer(se directory.Server, event string, revision mp.Revision, source Source) {
+func (st *state) logServer(se directory.Server, event string, position mp.Position, source Source) {
 	st.logger.Info().Str("event", event).Str("server", string(se.ID)).Str("service", string(se.Service)).
 		Str("address", se.Address).Str("data_centre", string(se.DataCentre)).Bool("leaving", se.State == directory.Draining).
-		Uint64("revision", uint64(revision)).Str("source", string(source)).Msg("backend server list changed")
+		Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).Msg("backend server list changed")
 }
 
 // snapshot returns an immutable copy of the state for request handlers.
