directory, follow, peer, gateway, platform: positions order the store's words, not revisions

A store that comes back from a copy gives its revisions out again and says so by an era that rises. Hosts took revisions as ever rising. What followed: all hosts dropped every list until the store had given out as many revisions again as were lost, so none learned of a server that registered or left; a configuration written meanwhile wasn't read by list calls; a revision that was given out again passed for the list that the host had, its peers confirmed it, and lists of the earlier era were sent on as the newer ones; and as nothing confirmed the list, every host, first reader or not, read the store four times in an interval.

Now a Position, an era and a revision with an order, stands wherever a revision was kept, compared, sent to other hosts or logged. A list is of one era, a watch of another era fails and triggers a list, configuration and list of a read must be of one era, and ages belong to a position: a confirmation of another era has no effect, a later era replaces a list that was confirmed later, an earlier one never. A restore counts as the end of an outage: ready servers that the copy lacks are retained until they have had time to write again. Versions of the configuration stay as they are: the highest wins.

Existing tests name positions instead of revisions, with the same values; nothing in them is looser.

Ruled out: a watch that starts again from a revision that the store doesn't have.

--- a/configwatch/watcher.go
+++ b/configwatch/watcher.go
@@ -47,9 +47,9 @@
 	poster Poster
 	random *rand.Rand
 
-	// revision is the store revision of the newest response; zero if the next call has
+	// position is the store's position at the newest response; zero if the next call has
 	// to be a full read.
-	revision         mp.Revision
+	position         mp.Position
 	setRevision      mp.Revision // of the last set that was posted
 	machinesRevision mp.Revision // of the last list of machines that was posted
 	// values are the values of the last set that was posted, with the revision of
@@ -103,7 +103,7 @@
 				wa.logger.Warn().Str("event", "store_lost").Err(err).Msg("store unavailable")
 			}
 			failures++
-			wa.revision = 0 // a read returns as soon as the store is available, a watch only on a change
+			wa.position = mp.Position{} // a read returns as soon as the store is available, a watch only on a change
 			wa.sleep(ctx, retry.Backoff(failures, wa.random))
 			continue
 		}
@@ -126,20 +126,22 @@
 // next reads all values on the first call and after a failure, and otherwise waits
 // for changes.
 func (wa *Watcher) next(ctx context.Context) (platform.Page, error) {
-	if wa.revision == 0 {
+	if wa.position.IsZero() {
 		ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 		defer cancel()
 		return wa.store.List(ctx, platform.ConfigSetPrefix)
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout+maxTransferTime)
 	defer cancel()
-	return wa.store.Watch(ctx, platform.ConfigSetPrefix, wa.revision, watchTimeout)
+	return wa.store.Watch(ctx, platform.ConfigSetPrefix, wa.position, watchTimeout)
 }
 
 // handlePage posts the newer values of a page. A store replica that lags may return
 // older ones.
 func (wa *Watcher) handlePage(ctx context.Context, page platform.Page) {
-	wa.revision = max(wa.revision, page.Position.Revision)
+	if wa.position.Before(page.Position) {
+		wa.position = page.Position
+	}
 	for _, it := range page.Items {
 		if it.Deleted {
 			continue // the last published value stays in use
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -51,10 +51,10 @@
 // also ages while another host takes over from the one that reads the store.
 const outageThreshold = 2 * time.Second
 
-// Directory is the list of backend servers with its revision and age. It is not
+// Directory is the list of backend servers with its position and age. It is not
 // safe for concurrent use.
 type Directory struct {
-	revision    mp.Revision
+	position    mp.Position
 	confirmedAt time.Time
 	servers     map[mp.ServerID]Server
 	// sorted caches the servers ordered by identifier; nil after a change.
@@ -74,20 +74,20 @@
 	return &Directory{servers: map[mp.ServerID]Server{}, retainedUntil: map[mp.ServerID]time.Time{}}
 }
 
-// Revision returns the store revision of the list; zero if none was read.
-func (di *Directory) Revision() mp.Revision { return di.revision }
+// Position returns the position of the list in the store's history; zero if none was read.
+func (di *Directory) Position() mp.Position { return di.position }
 
 // ConfirmedAt returns the last time at which the list is known to have matched the
 // store.
 func (di *Directory) ConfirmedAt() time.Time { return di.confirmedAt }
 
 // Replace applies a full list and reports whether the servers changed. It ignores
-// a list of an older revision.
-func (di *Directory) Replace(now time.Time, revision mp.Revision, servers []Server) bool {
-	if revision < di.revision {
+// a list of an older position.
+func (di *Directory) Replace(now time.Time, position mp.Position, servers []Server) bool {
+	if position.Before(di.position) {
 		return false
 	}
-	di.detectOutage(now)
+	di.detectOutage(now, position.Era)
 	fresh := make(map[mp.ServerID]Server, len(servers))
 	for _, se := range servers {
 		if se.State == Removed {
@@ -113,29 +113,30 @@
 	if changed {
 		di.servers, di.sorted = fresh, nil
 	}
-	di.revision, di.confirmedAt = revision, now
+	di.position, di.confirmedAt = position, now
 	return changed
 }
 
-// Apply applies incremental changes up to a revision and reports whether the
-// servers changed. It ignores changes of an older revision.
-func (di *Directory) Apply(now time.Time, revision mp.Revision, changes []Server) bool {
-	if revision < di.revision {
+// Apply applies incremental changes up to a position and reports whether the
+// servers changed. It ignores changes of an older position, and those of an era of which
+// no list has been read.
+func (di *Directory) Apply(now time.Time, position mp.Position, changes []Server) bool {
+	if position.Before(di.position) || position.Era != di.position.Era {
 		return false
 	}
-	di.detectOutage(now)
+	di.detectOutage(now, position.Era)
 	changed := false
 	for _, se := range changes {
 		changed = di.applyChange(now, se) || changed
 	}
-	di.revision, di.confirmedAt = revision, now
+	di.position, di.confirmedAt = position, now
 	return changed
 }
 
-// Confirm records that the list of a revision was current at a time. It returns false
-// if that is not the revision of this list, or if a later time is recorded.
-func (di *Directory) Confirm(at time.Time, revision mp.Revision) bool {
-	if revision != di.revision || !at.After(di.confirmedAt) {
+// Confirm records that the list of a position was current at a time. It returns false
+// if that is not the position of this list, or if a later time is recorded.
+func (di *Directory) Confirm(at time.Time, position mp.Position) bool {
+	if position != di.position || !at.After(di.confirmedAt) {
 		return false
 	}
 	di.confirmedAt = at
@@ -160,9 +161,17 @@
 // RecordFailure records that a call to the store failed.
 func (di *Directory) RecordFailure(now time.Time) { di.failedAt = now }
 
-// detectOutage records the end of a store outage if the list is older than
-// outageThreshold and a call to the store has failed since it was confirmed.
-func (di *Directory) detectOutage(now time.Time) {
+// detectOutage records the end of a store outage if the store has come back from a copy,
+// which lacks the latest entries, or if the list is older than outageThreshold and a call
+// to the store has failed since it was confirmed.
+func (di *Directory) detectOutage(now time.Time, era mp.Era) {
+	if !di.position.IsZero() && era != di.position.Era {
+		di.storeReturnedAt = now
+		for id := range di.retainedUntil {
+			di.retainedUntil[id] = now.Add(reregisterTimeout)
+		}
+		return
+	}
 	if !di.confirmedAt.IsZero() && di.failedAt.After(di.confirmedAt) && now.Sub(di.confirmedAt) > outageThreshold {
 		di.storeReturnedAt = now
 	}
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -50,11 +49,11 @@
 // Store is the part of the platform's store that the follower uses. Its calls fail when
 // nothing arrives for StallTimeout.
 type Store interface {
-	// List returns all items below a prefix and the store revision.
+	// List returns all items below a prefix and the position of the store.
 	List(ctx context.Context, prefix string) (platform.Page, error)
-	// Watch waits for changes below a prefix after a revision, for at most the
-	// given time.
-	Watch(ctx context.Context, prefix string, after mp.Revision, wait time.Duration) (platform.Page, error)
+	// Watch waits for changes below a prefix after a position, for at most the
+	// given time. It fails if the store has no history after that position.
+	Watch(ctx context.Context, prefix string, after mp.Position, wait time.Duration) (platform.Page, error)
 }
 
 // Follower replicates the store. One goroutine owns the state; the list and
@@ -69,14 +68,14 @@
 	readerOrder  func() int
 	updates      chan update
 	done         <-chan struct{}
-	// watchRevision is the revision after which the watch continues; zero until
-	// the list was read.
-	watchRevision atomic.Uint64
 	// relist requests an immediate list call.
 	relist chan struct{}
 
-	mu           sync.Mutex
-	failingSince map[string]time.Time // by store call, "list" or "watch"
+	mu sync.Mutex
+	// watchPosition is the position after which the watch continues; zero until the list
+	// was read.
+	watchPosition mp.Position
+	failingSince  map[string]time.Time // by store call, "list" or "watch"
 	// newestReported is the newest version that another host was heard to have.
 	newestReported mp.Version
 }
@@ -205,12 +204,12 @@
 func (fo *Follower) runWatch(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		after := fo.watchRevision.Load()
-		if after == 0 || fo.readerOrder() > 0 {
+		after := fo.watchedUntil()
+		if after.IsZero() || fo.readerOrder() > 0 {
 			fo.sleep(ctx, watchCheckInterval)
 			continue
 		}
-		page, err := fo.watchOnce(ctx, mp.Revision(after))
+		page, err := fo.watchOnce(ctx, after)
 		if err != nil {
 			failures++
 			fo.recordFailure("watch", err)
@@ -219,20 +218,21 @@
 		}
 		failures = 0
 		fo.recordSuccess("watch")
-		fo.advanceWatch(page.Position.Revision)
+		fo.advanceWatch(page.Position)
 		fo.applyChanges(page)
 	}
 }
 
-// watchOnce waits for changes after a revision. If the store has compacted that
-// revision away, it requests a list call instead.
-func (fo *Follower) watchOnce(ctx context.Context, after mp.Revision) (platform.Page, error) {
+// watchOnce waits for changes after a position. If the store has no history after it, it
+// requests a list call instead.
+func (fo *Follower) watchOnce(ctx context.Context, after mp.Position) (platform.Page, error) {
 	waiting, cancel := context.WithTimeout(ctx, watchTimeout+maxTransferTime)
 	defer cancel()
 	page, err := fo.store.Watch(waiting, "", after, watchTimeout)
-	if errors.Is(err, platform.ErrCompacted) {
-		fo.logger.Info().Str("event", "watch_restarted").Uint64("revision", uint64(after)).Err(err).Msg("watch can't continue; reading the list")
-		fo.watchRevision.Store(0)
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
+		fo.logger.Info().Str("event", "watch_restarted").Uint64("era", uint64(after.Era)).Uint64("revision", uint64(after.Revision)).
+			Err(err).Msg("watch can't continue; reading the list")
+		fo.resetWatch()
 		fo.Refresh()
 	}
 	return page, err
@@ -246,16 +246,29 @@
 	}
 }
 
-// advanceWatch raises the revision after which the watch continues.
-func (fo *Follower) advanceWatch(revision mp.Revision) {
-	for {
-		known := fo.watchRevision.Load()
-		if uint64(revision) <= known || fo.watchRevision.CompareAndSwap(known, uint64(revision)) {
-			return
-		}
+// watchedUntil returns the position after which the watch continues.
+func (fo *Follower) watchedUntil() mp.Position {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.watchPosition
+}
+
+// advanceWatch lets the watch continue after a position, unless it has got further.
+func (fo *Follower) advanceWatch(position mp.Position) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.watchPosition.Before(position) {
+		fo.watchPosition = position
 	}
 }
 
+// resetWatch ends the watch until the list is read again.
+func (fo *Follower) resetWatch() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.watchPosition = mp.Position{}
+}
+
 // applyChanges applies the configuration and the server entries that a watch
 // reported.
 func (fo *Follower) applyChanges(page platform.Page) {
@@ -268,19 +281,19 @@
 	fo.applyConfigurationFrom(page)
 	now := fo.clock.Now()
 	fo.submit(func(st *state) bool {
-		st.confirmConfiguration(now)
+		st.confirmConfigurationAsOf(now, page.Position)
 		return len(servers.Items) > 0 && st.applyServerChanges(now, servers)
 	})
 }
 
-// runList lists the backend servers at an interval. The store revision in the
+// runList lists the backend servers at an interval. The store's position in the
 // response shows whether the configuration may have changed as well.
 func (fo *Follower) runList(ctx context.Context) {
-	var configRevision mp.Revision // store revision at which the configuration was read
+	var configPosition mp.Position // position of the store at which the configuration was read
 	failures := 0
 	for ctx.Err() == nil {
-		revision, err := fo.listOnce(ctx, configRevision)
-		configRevision = max(configRevision, revision)
+		position, err := fo.listOnce(ctx, configPosition)
+		configPosition = position
 		if err != nil {
 			failures++
 			fo.recordFailure("list", err)
@@ -322,32 +335,35 @@
 func (fo *Follower) readPlan() ReadPlan { return ReadPlan{ListInterval: fo.listInterval} }
 
 // listOnce reads the server list, and the configuration if the store has changed
-// since the given revision. It returns the revision at which the configuration was
-// read last. Only once both are read, the host counts as current and the watch goes on
-// from there.
-func (fo *Follower) listOnce(ctx context.Context, configRevision mp.Revision) (mp.Revision, error) {
+// since the given position. It returns the position at which the configuration was
+// read last. Only once both are read, in the same era, the host counts as current and the
+// watch goes on from there.
+func (fo *Follower) listOnce(ctx context.Context, configPosition mp.Position) (mp.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
 	requestedAt := fo.clock.Now()
 	servers, err := fo.store.List(ctx, platform.ServersPrefix)
 	if err != nil {
-		return configRevision, errors.Trace(err)
+		return configPosition, errors.Trace(err)
 	}
 	fo.submit(func(st *state) bool { return st.replaceServers(requestedAt, servers) })
-	if servers.Position.Revision > configRevision {
+	if configPosition.Before(servers.Position) {
 		page, err := fo.store.List(ctx, platform.OperatorPrefix)
 		if err != nil {
-			return configRevision, errors.Trace(err)
+			return configPosition, errors.Trace(err)
 		}
 		fo.applyConfigurationFrom(page)
-		configRevision = page.Position.Revision
+		if page.Position.Era != servers.Position.Era {
+			return configPosition, errors.Annotatef(platform.ErrRestored, "era %d of the configuration, %d of the servers", page.Position.Era, servers.Position.Era)
+		}
+		configPosition = page.Position
 	}
-	fo.advanceWatch(servers.Position.Revision)
+	fo.advanceWatch(servers.Position)
 	fo.submit(func(st *state) bool {
-		st.confirmConfiguration(requestedAt)
+		st.confirmConfigurationAsOf(requestedAt, servers.Position)
 		return false
 	})
-	return configRevision, nil
+	return configPosition, nil
 }
 
 // applyConfigurationFrom applies the configuration in a page, if there is one. A
@@ -401,7 +417,7 @@
 }
 
 // Confirm records another host's confirmation. It has no effect on a part of the state
-// of which this host has another revision or has already recorded a later time.
+// of which this host has another position or version, or has already recorded a later time.
 func (fo *Follower) Confirm(co Confirmation) {
 	fo.submit(func(st *state) bool {
 		st.confirm(co)
@@ -411,6 +427,6 @@
 
 // MergeServers applies a peer's server list that was current at a time, if it is
 // newer than this host's.
-func (fo *Follower) MergeServers(at time.Time, revision mp.Revision, servers []directory.Server) {
-	fo.submit(func(st *state) bool { return st.mergeServers(at, revision, servers) })
+func (fo *Follower) MergeServers(at time.Time, position mp.Position, servers []directory.Server) {
+	fo.submit(func(st *state) bool { return st.mergeServers(at, position, servers) })
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -89,7 +89,7 @@
 }
 
 // Watch implements follow.Store.
-func (st *stubStore) Watch(ctx context.Context, _ string, _ mp.Revision, _ time.Duration) (platform.Page, error) {
+func (st *stubStore) Watch(ctx context.Context, _ string, _ mp.Position, _ time.Duration) (platform.Page, error) {
 	<-ctx.Done()
 	return platform.Page{}, ctx.Err()
 }
@@ -178,7 +178,7 @@
 	waitForSleepers()
 	clock.Advance(time.Second)
 	fo.Confirm(follow.Confirmation{
-		ListRevision: view.Load().ListRevision, ListAt: clock.Now(),
+		ListPosition: view.Load().ListPosition, ListAt: clock.Now(),
 		Version: view.Load().Version(), ConfigurationAt: clock.Now(),
 	})
 	require.Equal(t, clock.Now(), view.Load().ListConfirmedAt)
@@ -200,7 +200,7 @@
 	defer stop()
 	<-view.Ready()
 	known := view.Load()
-	fo.MergeServers(clock.Now().Add(time.Millisecond), known.ListRevision+9, known.Servers)
+	fo.MergeServers(clock.Now().Add(time.Millisecond), later(known, 9), known.Servers)
 	const sleepers = 3 // the update, list and watch goroutines
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
@@ -211,6 +211,11 @@
 	require.LessOrEqual(t, store.listCalls("servers/"), 41)
 }
 
+// later returns the position a number of changes after the list of a snapshot.
+func later(sn *follow.Snapshot, changes mp.Revision) mp.Position {
+	return mp.Position{Era: sn.ListPosition.Era, Revision: sn.ListPosition.Revision + changes}
+}
+
 func TestOlderStateFromPeersIsIgnored(t *testing.T) {
 	store, view := newStubStore(), follow.NewView()
 	store.put("servers/a", entry)
@@ -220,10 +225,10 @@
 	<-view.Ready()
 	known := view.Load()
 	fo.MergeConfiguration(compressed(t, `{"version":3}`))
-	fo.MergeServers(known.ListConfirmedAt.Add(-time.Second), known.ListRevision+5, nil)
-	fo.MergeServers(known.ListConfirmedAt.Add(time.Second), known.ListRevision-1, nil)
-	fo.MergeServers(known.ListConfirmedAt.Add(2*time.Second), known.ListRevision+1, []directory.Server{{ID: "n", State: directory.Ready}})
-	requireEventually(t, func() bool { return view.Load().ListRevision == known.ListRevision+1 })
+	fo.MergeServers(known.ListConfirmedAt.Add(-time.Second), later(known, 5), nil)
+	fo.MergeServers(known.ListConfirmedAt.Add(time.Second), mp.Position{Era: known.ListPosition.Era, Revision: known.ListPosition.Revision - 1}, nil)
+	fo.MergeServers(known.ListConfirmedAt.Add(2*time.Second), later(known, 1), []directory.Server{{ID: "n", State: directory.Ready}})
+	requireEventually(t, func() bool { return view.Load().ListPosition == later(known, 1) })
 	require.Equal(t, mp.Version(4), view.Load().Version())
 	require.Equal(t, mp.ServerID("n"), view.Load().Servers[0].ID)
 }
--- a/follow/state.go
+++ b/follow/state.go
@@ -33,9 +33,7 @@
 type state struct {
 	logger    zerolog.Logger
 	directory *directory.Directory
-	// position is that of the last list or change that was read from the store.
-	position mp.Position
-	table    *routing.Table
+	table     *routing.Table
 	// compressed is the encoded configuration of the table, for other hosts.
 	compressed []byte
 	// configurationConfirmedAt is the last time at which the configuration is known to
@@ -114,11 +112,19 @@
 	}
 }
 
-// Confirmation is another host's report of what the store contained: the revision of
+// confirmConfigurationAsOf records the same for what was read at a position of the store,
+// unless this host knows a later one.
+func (st *state) confirmConfigurationAsOf(at time.Time, position mp.Position) {
+	if !position.Before(st.directory.Position()) {
+		st.confirmConfiguration(at)
+	}
+}
+
+// Confirmation is another host's report of what the store contained: the position of
 // the server list and the version of the configuration, each with the last time at which
 // it is known to have been current.
 type Confirmation struct {
-	ListRevision    mp.Revision
+	ListPosition    mp.Position
 	ListAt          time.Time
 	Version         mp.Version
 	ConfigurationAt time.Time
@@ -126,8 +132,9 @@
 
 // confirm records a confirmation of what this host has too.
 func (st *state) confirm(co Confirmation) {
-	if co.ListRevision > 0 {
-		st.directory.Confirm(co.ListAt, co.ListRevision)
+	if !co.ListPosition.IsZero() && st.directory.Confirm(co.ListAt, co.ListPosition) {
+		st.logger.Debug().Str("event", "list_confirmed").Uint64("era", uint64(co.ListPosition.Era)).
+			Uint64("revision", uint64(co.ListPosition.Revision)).Str("source", string(SourcePeer)).Msg("list of backend servers confirmed")
 	}
 	if co.Version > 0 && co.Version == st.version() {
 		st.confirmConfiguration(co.ConfigurationAt)
@@ -147,7 +154,7 @@
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
 	before := st.directory.Servers()
 	st.logPosition(now, page.Position, SourceStore)
-	if !st.directory.Replace(now, page.Position.Revision, st.decodeServers(page.Items)) {
+	if !st.directory.Replace(now, page.Position, st.decodeServers(page.Items)) {
 		return false
 	}
 	st.logChanges(before, page.Position, SourceStore)
@@ -159,7 +166,7 @@
 func (st *state) applyServerChanges(now time.Time, page platform.Page) bool {
 	before := st.directory.Servers()
 	st.logPosition(now, page.Position, SourceStore)
-	if !st.directory.Apply(now, page.Position.Revision, st.decodeServers(page.Items)) {
+	if !st.directory.Apply(now, page.Position, st.decodeServers(page.Items)) {
 		return false
 	}
 	st.logChanges(before, page.Position, SourceStore)
@@ -167,17 +174,18 @@
 }
 
 // mergeServers applies a peer's full list that was current at a time, unless
-// this host's list was confirmed at that time or later. It reports whether the
-// servers changed.
-func (st *state) mergeServers(at time.Time, revision mp.Revision, servers []directory.Server) bool {
-	if !at.After(st.directory.ConfirmedAt()) {
+// this host's list is of the same era and was confirmed at that time or later. It reports
+// whether the servers changed.
+func (st *state) mergeServers(at time.Time, position mp.Position, servers []directory.Server) bool {
+	if position.Era == st.directory.Position().Era && !at.After(st.directory.ConfirmedAt()) {
 		return false
 	}
 	before := st.directory.Servers()
-	if !st.directory.Replace(at, revision, servers) {
+	st.logPosition(at, position, SourcePeer)
+	if !st.directory.Replace(at, position, servers) {
 		return false
 	}
-	st.logChanges(before, mp.Position{Revision: revision}, SourcePeer)
+	st.logChanges(before, position, SourcePeer)
 	return true
 }
 
@@ -188,7 +196,7 @@
 	if !st.directory.Expire(now) {
 		return false
 	}
-	st.logChanges(before, st.position, SourceExpiry)
+	st.logChanges(before, st.directory.Position(), SourceExpiry)
 	return true
 }
 
@@ -215,20 +223,23 @@
 	st.logger.Error().Str("event", "server_entry_refused").Str("server", string(id)).Err(err).Msg("cannot decode backend server entry; treating the server as removed")
 }
 
-// logPosition logs that the store has come back from a copy, or that what was read from it
-// is ignored.
+// logPosition logs that the store has come back from a copy, or that a list or a change is
+// older than this host's list.
 func (st *state) logPosition(now time.Time, position mp.Position, source Source) {
-	if known := st.position; known.Era != position.Era && !known.IsZero() {
-		st.logger.Warn().Str("event", "store_restored").Uint64("era_before", uint64(known.Era)).Uint64("revision_before", uint64(known.Revision)).
-			Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).
-			Int64("version_in_force", int64(st.version())).Msg("store has come back from a copy")
-	}
-	st.position = position
-	if known := st.directory.Revision(); position.Revision < known {
-		st.logger.Warn().Str("event", "list_ignored").Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
-			Uint64("revision_known", uint64(known)).Str("source", string(source)).
-			Dur("list_age_ms", now.Sub(st.directory.ConfirmedAt())).Msg("older list of backend servers ignored")
+	known := st.directory.Position()
+	event, message := "", ""
+	switch {
+	case position.Before(known):
+		event, message = "list_ignored", "older list of backend servers ignored"
+	case position.Era != known.Era && !known.IsZero():
+		event, message = "store_restored", "store has come back from a copy"
+	default:
+		return
 	}
+	st.logger.Warn().Str("event", event).Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
+		Uint64("era_before", uint64(known.Era)).Uint64("revision_before", uint64(known.Revision)).
+		Str("source", string(source)).Dur("list_age_ms", now.Sub(st.directory.ConfirmedAt())).
+		Int64("version_in_force", int64(st.version())).Int("servers", len(st.directory.Servers())).Msg(message)
 }
 
 // logChanges logs each backend server that was added, changed or removed.
@@ -264,7 +275,7 @@
 		CompressedConfiguration:  st.compressed,
 		Servers:                  st.directory.Servers(),
 		packed:                   st.packed,
-		ListRevision:             st.directory.Revision(),
+		ListPosition:             st.directory.Position(),
 		ListConfirmedAt:          st.directory.ConfirmedAt(),
 		ConfigurationConfirmedAt: st.configurationConfirmedAt,
 	}
--- a/follow/view.go
+++ b/follow/view.go
@@ -30,8 +30,9 @@
 	// Servers are the listed backend servers, ordered by identifier.
 	Servers []directory.Server
 	packed  *packedServers
-	// ListRevision is the store revision of the server list; zero for none.
-	ListRevision mp.Revision
+	// ListPosition is the position of the server list in the store's history; zero for
+	// none.
+	ListPosition mp.Position
 	// ListConfirmedAt is the last time at which the server list is known to have
 	// matched the store.
 	ListConfirmedAt time.Time
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,11 +13,11 @@
 // start.
 const startupGossipPeriod = 5 * time.Second
 
-// digest returns the version and age of the configuration of a snapshot, and the revision
+// digest returns the version and age of the configuration of a snapshot, and the position
 // and age of its server list.
 func (ga *Gateway) digest(snapshot *follow.Snapshot) peer.Digest {
-	di := peer.Digest{Version: snapshot.Version(), ListRevision: snapshot.ListRevision}
-	if di.ListRevision > 0 {
+	di := peer.Digest{Version: snapshot.Version(), ListPosition: snapshot.ListPosition}
+	if !di.ListPosition.IsZero() {
 		di.ListAge = mp.Duration(ga.clock.Since(snapshot.ListConfirmedAt))
 	}
 	if di.Version > 0 {
@@ -30,7 +30,7 @@
 func (ga *Gateway) StateFor(other peer.State) peer.State {
 	snapshot := ga.view.Load()
 	local := peer.State{Digest: ga.digest(snapshot)}
-	if other.ListRevision < local.ListRevision {
+	if other.ListPosition.Before(local.ListPosition) {
 		packed, err := snapshot.PackedServers()
 		if err != nil {
 			ga.logger.Error().Str("event", "server_list_not_sent").Err(err).Msg("cannot pack the list of servers for another host")
@@ -44,7 +44,7 @@
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
 	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	snapshot := ga.view.Load()
-	if remote.PackedServers != nil && remote.ListRevision > snapshot.ListRevision {
+	if remote.PackedServers != nil && snapshot.ListPosition.Before(remote.ListPosition) {
 		ga.mergeServers(at, remote)
 	}
 	ga.confirm(at, remote.Digest)
@@ -55,10 +55,10 @@
 	servers, err := directory.Unpack(remote.PackedServers)
 	if err != nil {
 		ga.logger.Error().Str("event", "server_list_refused").Str("peer", string(remote.From.Address)).
-			Uint64("revision", uint64(remote.ListRevision)).Err(err).Msg("cannot read the list of servers of another host")
+			Uint64("era", uint64(remote.ListPosition.Era)).Uint64("revision", uint64(remote.ListPosition.Revision)).Err(err).Msg("cannot read the list of servers of another host")
 		return
 	}
-	ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListRevision, servers)
+	ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListPosition, servers)
 }
 
 // Configuration implements peer.Delegate.
@@ -79,12 +79,12 @@
 func (ga *Gateway) confirm(at time.Time, remote peer.Digest) {
 	snapshot := ga.view.Load()
 	co := follow.Confirmation{
-		ListRevision:    remote.ListRevision,
+		ListPosition:    remote.ListPosition,
 		ListAt:          at.Add(-remote.ListAge.Std()),
 		Version:         remote.Version,
 		ConfigurationAt: at.Add(-remote.ConfigurationAge.Std()),
 	}
-	newList := co.ListRevision > 0 && co.ListRevision == snapshot.ListRevision && co.ListAt.Sub(snapshot.ListConfirmedAt) > minConfirmAdvance
+	newList := !co.ListPosition.IsZero() && co.ListPosition == snapshot.ListPosition && co.ListAt.Sub(snapshot.ListConfirmedAt) > minConfirmAdvance
 	newConfiguration := co.Version > 0 && co.Version == snapshot.Version() && co.ConfigurationAt.Sub(snapshot.ConfigurationConfirmedAt) > minConfirmAdvance
 	if newList || newConfiguration {
 		ga.follower.Confirm(co)
@@ -157,7 +157,7 @@
 		ga.follower.ReportVersion(string(update.From.Address), update.Version)
 		ga.peers.TriggerTransfer(update.From.Address)
 	}
-	if update.ListRevision > snapshot.ListRevision {
+	if snapshot.ListPosition.Before(update.ListPosition) {
 		ga.peers.TriggerExchange(update.From.Address)
 	}
 }
--- /dev/null
+++ b/gateway/restore_test.go
@@ -0,0 +1,31 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/directory"
+	"github.com/mangopaddle/mangopaddle/peer"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+// TestListOfEarlierEraIsNotSpread guards against the list of an earlier era that hosts
+// send each other, because its revision is higher than the one that the restored store
+// has given out so far.
+func TestListOfEarlierEraIsNotSpread(t *testing.T) {
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil)
+	known := fx.gateway.StateFor(peer.State{}).ListPosition
+	earlier := mp.Position{Era: known.Era - 1, Revision: known.Revision + 100}
+	later := mp.Position{Era: known.Era + 1, Revision: 1}
+	packed, err := directory.Pack([]directory.Server{{ID: "n", Service: "app", State: directory.Ready}})
+	require.NoError(t, err)
+	require.NotNil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: earlier}}).PackedServers, "a host of an earlier era gets no list")
+	require.Nil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: later}}).PackedServers)
+	fx.gateway.MergeState(time.Now().Add(time.Minute), peer.State{Digest: peer.Digest{ListPosition: earlier}, PackedServers: packed})
+	require.Equal(t, known.Era, fx.gateway.StateFor(peer.State{}).ListPosition.Era)
+	fx.gateway.MergeState(time.Now(), peer.State{Digest: peer.Digest{ListPosition: later}, PackedServers: packed})
+	require.Equal(t, later, fx.gateway.StateFor(peer.State{}).ListPosition)
+}
--- a/peer/broadcaster_test.go
+++ b/peer/broadcaster_test.go
@@ -22,7 +22,7 @@
 
 func (bd *busyDelegate) LocalPeers() []peer.Address { return bd.recipients }
 func (bd *busyDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
-	return bd.loads, peer.Digest{Version: 7, ListRevision: 9}
+	return bd.loads, peer.Digest{Version: 7, ListPosition: mp.Position{Revision: 9}}
 }
 
 // TestLoadUpdateOfManyServersStillArrives guards against load updates that are dropped,
@@ -45,6 +45,6 @@
 	require.Eventually(t, func() bool { return len(receiver.received()) > 0 }, 20*time.Second, time.Millisecond)
 	update := receiver.received()[0]
 	require.Equal(t, mp.Version(7), update.Version)
-	require.Equal(t, mp.Revision(9), update.ListRevision)
+	require.Equal(t, mp.Position{Revision: 9}, update.ListPosition)
 	require.Contains(t, update.Loads, mp.ServerID(fmt.Sprintf("i-%010x", servers-1)), "the servers with the most load are left")
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -59,9 +59,9 @@
 type Digest struct {
 	// Version is the version of the configuration, zero for none.
 	Version mp.Version `json:"version"`
-	// ListRevision is the store revision of the list of backend servers, zero for
-	// none.
-	ListRevision mp.Revision `json:"list_revision"`
+	// ListPosition is the position of the list of backend servers in the store's history,
+	// zero for none.
+	ListPosition mp.Position `json:"list_position"`
 	// ListAge is the time since the list was last confirmed to match the store.
 	ListAge mp.Duration `json:"list_age"`
 	// ConfigurationAge is the same for the configuration.
--- a/peer/node.go
+++ b/peer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -11,6 +12,8 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
+
+	mp "github.com/mangopaddle/mangopaddle"
 )
 
 const (
@@ -261,7 +264,7 @@
 	defer cancel()
 	return no.withConn(ctx, remote, func(conn *jsonrpc2.Conn) error {
 		sentAt := no.clock.Now()
-		response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{ListRevision: maxRevision}}))
+		response, err := no.call(ctx, conn, no.stateFor(State{Digest: Digest{ListPosition: latestPosition}}))
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -291,9 +294,9 @@
 	return pc.traffic(), errors.Trace(err)
 }
 
-// maxRevision stands in for the unknown revision of a remote host, so that the
+// latestPosition stands in for the unknown position of a remote host, so that the
 // first message of an exchange carries only the digest and a sample of members.
-const maxRevision = 1<<63 - 1
+var latestPosition = mp.Position{Era: math.MaxUint64, Revision: math.MaxUint64}
 
 func (no *Node) call(ctx context.Context, conn *jsonrpc2.Conn, local State) (State, error) {
 	var response State
