directory, follow: a server's last word survives a restored store

The copy from which the store comes back may list a server as ready that has said that it leaves, or that is gone. A host that takes the copy's word sends it requests later than the time within which a server that leaves must get none, until the server has written again, or its entry has expired.

Each host now keeps the last word of each listed server, and of those that left within the last minute (a copy is some seconds old). In a later era an entry counts only if it is a later word, by the start time of the server and the sequence that it writes; of two that can't be told apart, the one by which the server leaves wins. A change that a watch reports is always a fresh word. After 15 s an entry that is still listed is believed: one that no server renews has expired by then. Hosts send each other the store's list as it is, and each judges it by what it knows, so a sound server can't be lost for hosts that never distrusted it. server_entry_distrusted names each such server.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -40,6 +40,14 @@
 	// StartedAtMillis is the server's start time in Unix milliseconds; zero if
 	// unknown.
 	StartedAtMillis int64 `json:"born,omitempty"`
+	// Sequence counts what the server has written since its start; zero if unknown.
+	Sequence int64 `json:"sequence,omitempty"`
+}
+
+// Equal reports whether two entries differ in nothing but the sequence.
+func (se Server) Equal(other Server) bool {
+	se.Sequence = other.Sequence
+	return se == other
 }
 
 // reregisterTimeout is how long after an outage of the store a server whose entry
@@ -56,9 +64,12 @@
 type Directory struct {
 	position    mp.Position
 	confirmedAt time.Time
-	servers     map[mp.ServerID]Server
-	// sorted caches the servers ordered by identifier; nil after a change.
-	sorted []Server
+	// eraSince is when the first list of the position's era was applied.
+	eraSince time.Time
+	// listed are the servers as the store lists them.
+	listed map[mp.ServerID]Server
+	// words are the last words of the listed servers and of those that left lately.
+	words map[mp.ServerID]word
 	// retainedUntil holds the servers whose entries disappeared in an outage, and
 	// when they expire.
 	retainedUntil map[mp.ServerID]time.Time
@@ -67,11 +78,13 @@
 	// storeReturnedAt is when the list was updated again after the last outage of the
 	// store.
 	storeReturnedAt time.Time
+	// servers are the servers to use, and sorted the listed ones, ordered by identifier.
+	servers, sorted []Server
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: map[mp.ServerID]Server{}, retainedUntil: map[mp.ServerID]time.Time{}}
+	return &Directory{listed: map[mp.ServerID]Server{}, words: map[mp.ServerID]word{}, retainedUntil: map[mp.ServerID]time.Time{}}
 }
 
 // Position returns the position of the list in the store's history; zero if none was read.
@@ -82,39 +95,34 @@
 func (di *Directory) ConfirmedAt() time.Time { return di.confirmedAt }
 
 // Replace applies a full list and reports whether the servers changed. It ignores
-// a list of an older position.
+// a list of an older position. What a server said in an earlier era stands until its entry
+// is a later word.
 func (di *Directory) Replace(now time.Time, position mp.Position, servers []Server) bool {
 	if position.Before(di.position) {
 		return false
 	}
-	di.detectOutage(now, position.Era)
-	fresh := make(map[mp.ServerID]Server, len(servers))
+	di.advance(now, position)
+	before := di.listed
+	di.listed = make(map[mp.ServerID]Server, len(servers))
 	for _, se := range servers {
 		if se.State == Removed {
 			continue
 		}
-		fresh[se.ID] = se
+		di.listed[se.ID] = se
 		delete(di.retainedUntil, se.ID)
-	}
-	changed := false
-	for id, se := range di.servers {
-		if _, ok := fresh[id]; ok {
-			continue
+		if !di.distrusts(now, se) {
+			di.words[se.ID] = word{server: se, era: position.Era}
 		}
-		if di.retain(now, se) {
-			fresh[id] = se
-			continue
-		}
-		changed = true
 	}
-	for id, se := range fresh {
-		changed = changed || di.servers[id] != se
+	for id := range before {
+		if _, ok := di.listed[id]; !ok {
+			di.drop(now, id)
+		}
 	}
-	if changed {
-		di.servers, di.sorted = fresh, nil
+	if !maps.Equal(before, di.listed) {
+		di.sorted = nil
 	}
-	di.position, di.confirmedAt = position, now
-	return changed
+	return di.rebuild()
 }
 
 // Apply applies incremental changes up to a position and reports whether the
@@ -124,13 +132,30 @@
 	if position.Before(di.position) || position.Era != di.position.Era {
 		return false
 	}
-	di.detectOutage(now, position.Era)
-	changed := false
+	di.advance(now, position)
 	for _, se := range changes {
-		changed = di.applyChange(now, se) || changed
+		if se.State != Removed {
+			di.listed[se.ID] = se
+			delete(di.retainedUntil, se.ID)
+			di.words[se.ID] = word{server: se, era: position.Era}
+			continue
+		}
+		if _, ok := di.listed[se.ID]; ok {
+			delete(di.listed, se.ID)
+			di.drop(now, se.ID)
+		}
+	}
+	di.sorted = nil
+	return di.rebuild()
+}
+
+// advance records the position of a list or of changes, and the end of an outage.
+func (di *Directory) advance(now time.Time, position mp.Position) {
+	if position.Era != di.position.Era {
+		di.eraSince = now
 	}
+	di.detectOutage(now, position.Era)
 	di.position, di.confirmedAt = position, now
-	return changed
 }
 
 // Confirm records that the list of a position was current at a time. It returns false
@@ -143,19 +168,12 @@
 	return true
 }
 
-func (di *Directory) applyChange(now time.Time, se Server) bool {
-	known, ok := di.servers[se.ID]
-	if se.State == Removed {
-		if !ok || di.retain(now, known) {
-			return false
-		}
-		delete(di.servers, se.ID)
-		di.sorted = nil
-		return true
+// drop retains a server whose entry disappeared, or records that it is gone.
+func (di *Directory) drop(now time.Time, id mp.ServerID) {
+	if wo := di.words[id]; !wo.isGone() && di.retain(now, wo.server) {
+		return
 	}
-	delete(di.retainedUntil, se.ID)
-	di.servers[se.ID], di.sorted = se, nil
-	return known != se
+	di.recordGone(now, id)
 }
 
 // RecordFailure records that a call to the store failed.
@@ -189,40 +207,53 @@
 	return true
 }
 
-// Expire removes retained servers that did not register again in time. It reports
-// whether the servers changed.
+// Expire removes retained servers that did not register again in time, and forgets words
+// that no copy can contradict any more. It reports whether the servers changed.
 func (di *Directory) Expire(now time.Time) bool {
-	changed := false
+	stale := di.forgetWords(now)
 	for id, until := range di.retainedUntil {
-		if now.Before(until) {
-			continue
+		if !now.Before(until) {
+			delete(di.retainedUntil, id)
+			di.recordGone(now, id)
+			stale = true
 		}
-		delete(di.retainedUntil, id)
-		delete(di.servers, id)
-		di.sorted, changed = nil, true
 	}
-	return changed
+	return stale && di.rebuild()
 }
 
-// Servers returns the servers ordered by identifier. The caller must not modify the
-// slice; the directory replaces it on a change.
-func (di *Directory) Servers() []Server {
-	if di.sorted == nil {
-		di.sorted = slices.Collect(maps.Values(di.servers))
-		slices.SortFunc(di.sorted, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+// rebuild determines the servers to use and reports whether they changed.
+func (di *Directory) rebuild() bool {
+	before := di.servers
+	servers := make([]Server, 0, len(before))
+	for id := range di.listed {
+		if wo := di.words[id]; !wo.isGone() {
+			servers = append(servers, wo.server)
+		}
 	}
-	return di.sorted
+	for id := range di.retainedUntil {
+		servers = append(servers, di.words[id].server)
+	}
+	slices.SortFunc(servers, compareIDs)
+	if slices.Equal(before, servers) {
+		return false
+	}
+	di.servers = servers
+	return !slices.EqualFunc(before, servers, Server.Equal)
 }
 
-// Listed returns the servers without those that are retained. Other hosts may get only
-// these: they know themselves whether the store was unavailable to them, and for how long
-// to retain a server.
+func compareIDs(one, other Server) int { return strings.Compare(string(one.ID), string(other.ID)) }
+
+// Servers returns the servers to use, ordered by identifier. The caller must not modify the
+// slice; the directory replaces it on a change.
+func (di *Directory) Servers() []Server { return di.servers }
+
+// Listed returns the servers as the store lists them, ordered by identifier, under the same
+// conditions as Servers. Other hosts may get only these: they know themselves which servers
+// to retain, and which to distrust.
 func (di *Directory) Listed() []Server {
-	if len(di.retainedUntil) == 0 {
-		return di.Servers()
+	if di.sorted == nil {
+		di.sorted = slices.Collect(maps.Values(di.listed))
+		slices.SortFunc(di.sorted, compareIDs)
 	}
-	return slices.DeleteFunc(slices.Clone(di.Servers()), func(se Server) bool {
-		_, ok := di.retainedUntil[se.ID]
-		return ok
-	})
+	return di.sorted
 }
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -184,3 +184,26 @@
 	rh.follower.MergeServers(clock.Now(), later(known, 9), nil)
 	require.Equal(t, next, rh.view.Load().ListPosition, "the earlier era came back")
 }
+
+// TestLeavingServerOfRestoredStoreIsNotUsed guards against requests to a server that had
+// said that it leaves, because the copy from which the store came back lists it as ready,
+// and against a host that learns of it again from another one.
+func TestLeavingServerOfRestoredStoreIsNotUsed(t *testing.T) {
+	rh, clock := newClockedHost(t)
+	put := func(state string, sequence int) {
+		rh.store.Put("servers/a", fmt.Appendf(nil, `{"service":"app","address":"10.0.0.1:80","slots":6,"state":%q,"sequence":%d,"born":1}`, state, sequence))
+	}
+	put("ready", 5)
+	steps(t, clock, 10)
+	saved := rh.store.Snapshot()
+	put("draining", 7)
+	steps(t, clock, 10)
+	require.Equal(t, directory.Draining, rh.state("a"))
+	rh.store.Restore(saved)
+	steps(t, clock, 10)
+	require.Equal(t, mp.Era(2), rh.view.Load().ListPosition.Era)
+	require.Equal(t, directory.Draining, rh.state("a"))
+	copied := directory.Server{ID: "a", Service: "app", State: directory.Ready, StartedAtMillis: 1, Sequence: 5}
+	rh.follower.MergeServers(clock.Now().Add(time.Second), later(rh.view.Load(), 1), []directory.Server{copied})
+	require.Equal(t, directory.Draining, rh.state("a"))
+}
--- a/follow/state.go
+++ b/follow/state.go
@@ -152,13 +152,7 @@
 // replaceServers applies a full list that was read from the store and reports
 // whether the servers changed.
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
-	before := st.directory.Servers()
-	st.logPosition(now, page.Position, SourceStore)
-	if !st.directory.Replace(now, page.Position, st.decodeServers(page.Items)) {
-		return false
-	}
-	st.logChanges(before, page.Position, SourceStore)
-	return true
+	return st.replace(now, page.Position, st.decodeServers(page.Items), SourceStore)
 }
 
 // applyServerChanges applies incremental changes from a watch of the store and
@@ -180,13 +174,21 @@
 	if position.Era == st.directory.Position().Era && !at.After(st.directory.ConfirmedAt()) {
 		return false
 	}
-	before := st.directory.Servers()
-	st.logPosition(at, position, SourcePeer)
-	if !st.directory.Replace(at, position, servers) {
-		return false
+	return st.replace(at, position, servers, SourcePeer)
+}
+
+// replace applies a full list and reports whether the servers changed.
+func (st *state) replace(at time.Time, position mp.Position, servers []directory.Server, source Source) bool {
+	before, known := st.directory.Servers(), st.directory.Position()
+	st.logPosition(at, position, source)
+	changed := st.directory.Replace(at, position, servers)
+	if known.Era < position.Era {
+		st.logDistrusted(position, source)
 	}
-	st.logChanges(before, position, SourcePeer)
-	return true
+	if changed {
+		st.logChanges(before, position, source)
+	}
+	return changed
 }
 
 // expireServers removes retained servers that did not register again in time and reports
@@ -242,6 +244,16 @@
 		Int64("version_in_force", int64(st.version())).Int("servers", len(st.directory.Servers())).Msg(message)
 }
 
+// logDistrusted logs each server whose entry in a copy of the store is older than what is
+// known of it.
+func (st *state) logDistrusted(position mp.Position, source Source) {
+	for _, se := range st.directory.Distrusted() {
+		st.logger.Warn().Str("event", "server_entry_distrusted").Str("server", string(se.ID)).Int64("sequence", se.Sequence).
+			Bool("leaving", se.State == directory.Draining).Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
+			Str("source", string(source)).Msg("entry of the copy is older than the server's last word; keeping that")
+	}
+}
+
 // logChanges logs each backend server that was added, changed or removed.
 func (st *state) logChanges(before []directory.Server, position mp.Position, source Source) {
 	known := make(map[mp.ServerID]directory.Server, len(before))
@@ -249,7 +261,7 @@
 		known[se.ID] = se
 	}
 	for _, se := range st.directory.Servers() {
-		if old, ok := known[se.ID]; !ok || old != se {
+		if old, ok := known[se.ID]; !ok || !old.Equal(se) {
 			st.logServer(se, "server_listed", position, source)
 		}
 		delete(known, se.ID)
