--- a/follow/state.go
+++ b/follow/state.go
@@ -112,11 +112,19 @@
 	}
 }
 
-// Confirmation is another host's report of what the store contained: the revision of
+// confirmConfigurationAsOf records the same for what was read at a position of the store,
+// unless this host knows a later one.
+func (st *state) confirmConfigurationAsOf(at time.Time, position mp.Position) {
+	if !position.Before(st.directory.Position()) {
+		st.confirmConfiguration(at)
+	}
+}
+
+// Confirmation is another host's report of what the store contained: the position of
 // the server list and the version of the configuration, each with the last time at which
 // it is known to have been current.
 type Confirmation struct {
-	ListRevision    mp.Revision
+	ListPosition    mp.Position
 	ListAt          time.Time
 	Version         mp.Version
 	ConfigurationAt time.Time
@@ -124,8 +132,9 @@
 
 // confirm records a confirmation of what this host has too.
 func (st *state) confirm(co Confirmation) {
-	if co.ListRevision > 0 {
-		st.directory.Confirm(co.ListAt, co.ListRevision)
+	if !co.ListPosition.IsZero() && st.directory.Confirm(co.ListAt, co.ListPosition) {
+		st.logger.Debug().Str("event", "list_confirmed").Uint64("era", uint64(co.ListPosition.Era)).
+			Uint64("revision", uint64(co.ListPosition.Revision)).Str("source", string(SourcePeer)).Msg("list of backend servers confirmed")
 	}
 	if co.Version > 0 && co.Version == st.version() {
 		st.confirmConfiguration(co.ConfigurationAt)
@@ -143,38 +152,43 @@
 // replaceServers applies a full list that was read from the store and reports
 // whether the servers changed.
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
-	before := st.directory.Servers()
-	if !st.directory.Replace(now, page.Revision, st.decodeServers(page.Items)) {
-		return false
-	}
-	st.logChanges(before, page.Revision, SourceStore)
-	return true
+	return st.replace(now, page.Position, st.decodeServers(page.Items), SourceStore)
 }
 
 // applyServerChanges applies incremental changes from a watch of the store and
 // reports whether the servers changed.
 func (st *state) applyServerChanges(now time.Time, page platform.Page) bool {
 	before := st.directory.Servers()
-	if !st.directory.Apply(now, page.Revision, st.decodeServers(page.Items)) {
+	st.logPosition(now, page.Position, SourceStore)
+	if !st.directory.Apply(now, page.Position, st.decodeServers(page.Items)) {
 		return false
 	}
-	st.logChanges(before, page.Revision, SourceStore)
+	st.logChanges(before, page.Position, SourceStore)
 	return true
 }
 
 // mergeServers applies a peer's full list that was current at a time, unless
-// this host's list was confirmed at that time or later. It reports whether the
-// servers changed.
-func (st *state) mergeServers(at time.Time, revision mp.Revision, servers []directory.Server) bool {
-	if !at.After(st.directory.ConfirmedAt()) {
+// this host's list is of the same era and was confirmed at that time or later. It reports
+// whether the servers changed.
+func (st *state) mergeServers(at time.Time, position mp.Position, servers []directory.Server) bool {
+	if position.Era == st.directory.Position().Era && !at.After(st.directory.ConfirmedAt()) {
 		return false
 	}
-	before := st.directory.Servers()
-	if !st.directory.Replace(at, revision, servers) {
-		return false
+	return st.replace(at, position, servers, SourcePeer)
+}
+
+// replace applies a full list and reports whether the servers changed.
+func (st *state) replace(at time.Time, position mp.Position, servers []directory.Server, source Source) bool {
+	before, known := st.directory.Servers(), st.directory.Position()
+	st.logPosition(at, position, source)
+	changed := st.directory.Replace(at, position, servers)
+	if known.Era < position.Era {
+		st.logDistrusted(position, source)
 	}
-	st.logChanges(before, revision, SourcePeer)
-	return true
+	if changed {
+		st.logChanges(before, position, source)
+	}
+	return changed
 }
 
 // expireServers removes retained servers that did not register again in time and reports
@@ -184,7 +198,7 @@
 	if !st.directory.Expire(now) {
 		return false
 	}
-	st.logChanges(before, st.directory.Revision(), SourceExpiry)
+	st.logChanges(before, st.directory.Position(), SourceExpiry)
 	return true
 }
 
@@ -211,27 +225,56 @@
 	st.logger.Error().Str("event", "server_entry_refused").Str("server", string(id)).Err(err).Msg("cannot decode backend server entry; treating the server as removed")
 }
 
+// logPosition logs that the store has come back from a copy, or that a list or a change is
+// older than this host's list.
+func (st *state) logPosition(now time.Time, position mp.Position, source Source) {
+	known := st.directory.Position()
+	event, message := "", ""
+	switch {
+	case position.Before(known):
+		event, message = "list_ignored", "older list of backend servers ignored"
+	case position.Era != known.Era && !known.IsZero():
+		event, message = "store_restored", "store has come back from a copy"
+	default:
+		return
+	}
+	st.logger.Warn().Str("event", event).Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
+		Uint64("era_before", uint64(known.Era)).Uint64("revision_before", uint64(known.Revision)).
+		Str("source", string(source)).Dur("list_age_ms", now.Sub(st.directory.ConfirmedAt())).
+		Int64("version_in_force", int64(st.version())).Int("servers", len(st.directory.Servers())).Msg(message)
+}
+
+// logDistrusted logs each server whose entry in a copy of the store is older than what is
+// known of it.
+func (st *state) logDistrusted(position mp.Position, source Source) {
+	for _, se := range st.directory.Distrusted() {
+		st.logger.Warn().Str("event", "server_entry_distrusted").Str("server", string(se.ID)).Int64("sequence", se.Sequence).
+			Bool("leaving", se.State == directory.Draining).Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).
+			Str("source", string(source)).Msg("entry of the copy is older than the server's last word; keeping that")
+	}
+}
+
 // logChanges logs each backend server that was added, changed or removed.
-func (st *state) logChanges(before []directory.Server, revision mp.Revision, source Source) {
+func (st *state) logChanges(before []directory.Server, position mp.Position, source Source) {
 	known := make(map[mp.ServerID]directory.Server, len(before))
 	for _, se := range before {
 		known[se.ID] = se
 	}
 	for _, se := range st.directory.Servers() {
-		if old, ok := known[se.ID]; !ok || old != se {
-			st.logServer(se, "server_listed", revision, source)
+		if old, ok := known[se.ID]; !ok || !old.Equal(se) {
+			st.logServer(se, "server_listed", position, source)
 		}
 		delete(known, se.ID)
 	}
 	for _, se := range known {
-		st.logServer(se, "server_removed", revision, source)
+		st.logServer(se, "server_removed", position, source)
 	}
 }
 
-func (st *state) logServer(se directory.Server, event string, revision mp.Revision, source Source) {
+func (st *state) logServer(se directory.Server, event string, position mp.Position, source Source) {
 	st.logger.Info().Str("event", event).Str("server", string(se.ID)).Str("service", string(se.Service)).
 		Str("address", se.Address).Str("data_centre", string(se.DataCentre)).Bool("leaving", se.State == directory.Draining).
-		Uint64("revision", uint64(revision)).Str("source", string(source)).Msg("backend server list changed")
+		Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).Msg("backend server list changed")
 }
 
 // snapshot returns an immutable copy of the state for request handlers.
@@ -244,7 +287,7 @@
 		CompressedConfiguration:  st.compressed,
 		Servers:                  st.directory.Servers(),
 		packed:                   st.packed,
-		ListRevision:             st.directory.Revision(),
+		ListPosition:             st.directory.Position(),
 		ListConfirmedAt:          st.directory.ConfirmedAt(),
 		ConfigurationConfirmedAt: st.configurationConfirmedAt,
 	}
