directory: one odd entry of another host no longer refuses its whole list

Callers: while the store is out of reach for a host, other hosts are its only source; one entry with a number too large in their lists, and it follows none of them: its requests go to engines that have left.

Cause: Unpack decoded the list as one JSON value, and took entries that name no server as they came.

Fix: entries are decoded one by one, and those that can't be read or don't pass Server.Check are left out, as when they are read from the store.

--- a/directory/packed.go
+++ b/directory/packed.go
@@ -22,15 +22,24 @@
 	return packed, errors.Trace(err)
 }
 
-// Unpack is the inverse of Pack. It returns an error if the data is no list or too large.
+// Unpack is the inverse of Pack. It leaves out each entry that can't be read or names no
+// server, as Check says. It returns an error if the data is no list or too large.
 func Unpack(packed []byte) ([]Server, error) {
 	data, err := compression.Decompress(packed, maxPackedBytes)
 	if err != nil {
 		return nil, errors.Annotate(err, "list of servers")
 	}
-	var servers []Server
-	if err := json.Unmarshal(data, &servers); err != nil {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(data, &entries); err != nil {
 		return nil, errors.Annotate(err, "list of servers")
 	}
+	servers := make([]Server, 0, len(entries))
+	for _, entry := range entries {
+		var se Server
+		if err := json.Unmarshal(entry, &se); err != nil || se.Check() != nil {
+			continue
+		}
+		servers = append(servers, se)
+	}
 	return servers, nil
 }
