gateway: a long answer to a resumed stream does not get into the stream

Callers: a stream had begun and broke off; the next engine answered with an error of over 256 KiB.

Cause: relayBuffered checked whether a stream had begun only after the whole body was buffered; a longer one went to relayUnbuffered, which writes to the caller at once.

Evidence: TestLongAnswerIsNotWrittenIntoStream on the code before: "An error is expected but got nil" at status 404, and net/http's "superfluous response.WriteHeader call from relayUnbuffered".

Fix: whether an answer can go on with a stream is decided in relay, from its header, before any of its body is read. The attempt fails as for shorter ones: another engine gets the request if attempts are left, else the connection is aborted.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -223,7 +223,8 @@
 }
 
 // relay sends the backend server's response to the caller. A misdirected,
-// rejected or unsigned response fails the attempt.
+// rejected or unsigned response fails the attempt, and so does one to a stream that has
+// begun if it is not the rest of the stream.
 func (ga *Gateway) relay(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	status := ex.Response.StatusCode
 	switch {
@@ -235,6 +236,8 @@
 		return result{outcome: placement.Rejected, err: errors.Errorf("the server did not run the request (status %d)", status)}
 	case !headers.Signed:
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("answer with status %d without a signature", status)}
+	case re.stream != nil && status != http.StatusOK:
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d", status)}
 	case status == http.StatusOK && re.route.Kind == routing.Stream:
 		return ga.relayStream(re, ch, ex, recordFirstEvent, headers)
 	default:
@@ -265,9 +268,6 @@
 		re.lastFailure = response
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered with status %d", response.status)}
 	}
-	if re.stream != nil {
-		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d", response.status)}
-	}
 	ga.writeResponse(re, response)
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
--- /dev/null
+++ b/gateway/resume_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+// answerHead returns the header of a response to a request, with more lines.
+func answerHead(rq fakeserver.Request, status int, lines ...string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n", status, http.StatusText(status), rq.ID)
+	return head + strings.Join(append(lines, "", ""), "\r\n")
+}
+
+const (
+	signatureLine   = platform.HeaderSignature + ": s"
+	eventStreamLine = "Content-Type: text/event-stream"
+)
+
+// lengthLine returns the header line with the length of a body.
+func lengthLine(body string) string { return fmt.Sprintf("Content-Length: %d", len(body)) }
+
+// events returns the events of a stream from one ID to another.
+func events(first, last int) string {
+	var text strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+// resumeAfterTwo starts engines of which the first to be called breaks off after two
+// events and each further one responds with next. It returns what the caller received and
+// the number of calls.
+func resumeAfterTwo(t *testing.T, attempts int, next fakeserver.Handler, headers ...string) (clientResponse, int) {
+	t.Helper()
+	var calls atomic.Int64
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		if calls.Add(1) > 1 {
+			return next(co, rq)
+		}
+		co.BeginStream(rq)
+		co.WriteEvent(rq.LastEventID() + 1)
+		co.WriteEvent(rq.LastEventID() + 2)
+		return false
+	}
+	var engines []*fakeserver.Server
+	for range attempts {
+		engines = append(engines, startServer(t, handler))
+	}
+	fx := newFixture(t, nil, engines)
+	fx.setResumableRoute("max_attempts", attempts)
+	got := fx.post(resumablePath, "r-1", "prompt", headers...)
+	return got, int(calls.Load())
+}
+
+// TestLongAnswerIsNotWrittenIntoStream guards against an answer that is too long to be
+// buffered and gets into a stream that had begun.
+func TestLongAnswerIsNotWrittenIntoStream(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusInternalServerError, http.StatusFound, http.StatusCreated} {
+		text := strings.Repeat("error: overloaded\n\n", 16<<10)
+		got, calls := resumeAfterTwo(t, 2, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			co.Printf("%s%s", answerHead(rq, status, signatureLine, lengthLine(text)), text)
+			return true
+		})
+		require.Error(t, got.err, "status %d: the stream must not look complete", status)
+		require.Equal(t, events(1, 2), got.body, "status %d", status)
+		require.Equal(t, 2, calls)
+	}
+}
