gateway: an answer that is no event stream does not go on with a stream

Callers: a stream had begun and broke off; the next engine answered 200 with JSON, HTML, text or nothing, or in another encoding.

Cause: any signed 200 to a resumed request was relayed as the rest of the stream, and what has no event in it as the end of the stream.

Fix: the header of the answer decides. Its type must be text/event-stream, or the one that the stream began with (engines may send none), and its encoding that of the beginning. Else the attempt fails: another engine gets the request if attempts are left (last case of the test), else the connection is aborted.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -236,8 +236,9 @@
 		return result{outcome: placement.Rejected, err: errors.Errorf("the server did not run the request (status %d)", status)}
 	case !headers.Signed:
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("answer with status %d without a signature", status)}
-	case re.stream != nil && status != http.StatusOK:
-		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d", status)}
+	case re.stream != nil && !re.stream.isContinuedBy(ex.Response):
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d, type %q, encoding %q",
+			status, ex.Response.Header.Get("Content-Type"), ex.Response.Header.Get("Content-Encoding"))}
 	case status == http.StatusOK && re.route.Kind == routing.Stream:
 		return ga.relayStream(re, ch, ex, recordFirstEvent, headers)
 	default:
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -75,3 +75,46 @@
 		require.Equal(t, 2, calls)
 	}
 }
+
+// TestOtherContentIsNotWrittenIntoStream guards against an answer that is no event stream,
+// or an encoded one, and gets into a stream that had begun or ends it as complete.
+func TestOtherContentIsNotWrittenIntoStream(t *testing.T) {
+	for name, answer := range map[string]struct {
+		body  string
+		lines []string
+	}{
+		"JSON":                      {`{"error":"overloaded"}` + "\n\n", []string{"Content-Type: application/json"}},
+		"HTML":                      {"<html>overloaded</html>\n\n", []string{"Content-Type: text/html; charset=utf-8"}},
+		"text":                      {"error: overloaded\n\n", []string{"Content-Type: text/plain"}},
+		"no type":                   {"error: overloaded\n\n", nil},
+		"nothing":                   {"", nil},
+		"events of another type":    {events(3, 3), []string{"Content-Type: application/json"}},
+		"an encoded stream":         {"\x1f\x8b\x08\x00error\n\n", []string{eventStreamLine, "Content-Encoding: gzip"}},
+		"an encoded stream, spoilt": {events(3, 3), []string{eventStreamLine, "Content-Encoding: br"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, calls := resumeAfterTwo(t, 2, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				lines := append([]string{signatureLine, lengthLine(answer.body)}, answer.lines...)
+				co.Printf("%s%s", answerHead(rq, http.StatusOK, lines...), answer.body)
+				return true
+			})
+			require.Error(t, got.err, "the stream must not look complete")
+			require.Equal(t, events(1, 2), got.body)
+			require.Equal(t, 2, calls)
+		})
+	}
+	t.Run("another engine goes on after it", func(t *testing.T) {
+		var answers atomic.Int64
+		got, calls := resumeAfterTwo(t, 3, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			if answers.Add(1) == 1 {
+				co.Respond(rq, http.StatusOK, `{"error":"overloaded"}`+"\n\n", "Content-Type: application/json")
+				return true
+			}
+			co.Respond(rq, http.StatusOK, events(3, 4), "Content-Type: Text/Event-Stream; charset=utf-8")
+			return true
+		})
+		require.NoError(t, got.err)
+		require.Equal(t, events(1, 4), got.body)
+		require.Equal(t, 3, calls)
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,6 +32,8 @@
 	events int
 	// resumeAfter is the Last-Event-ID of the caller's own request.
 	resumeAfter string
+	// mediaType and encoding are those of the response that the caller receives.
+	mediaType, encoding string
 	// firstAt and lastAt are the times of the first and the last relayed events;
 	// longestGap is the longest time between two.
 	firstAt, lastAt time.Time
@@ -56,6 +59,24 @@
 	return strconv.FormatInt(st.lastID, 10)
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isContinuedBy reports whether a response can be the rest of a stream that has begun, by
+// its header: a success with a stream of events, or with the type that the stream began
+// with, in the same encoding.
+func (st *streamState) isContinuedBy(response *http.Response) bool {
+	ty := mediaType(response)
+	return response.StatusCode == http.StatusOK && (ty == eventStreamType || ty == st.mediaType) &&
+		response.Header.Get("Content-Encoding") == st.encoding
+}
+
+// mediaType returns the media type of a response in lower case, without parameters.
+func mediaType(response *http.Response) string {
+	ty, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(ty))
+}
+
 // errCallerWrite is the error of a failed or timed-out write to the caller.
 const errCallerWrite = errors.ConstError("write to the caller failed")
 
@@ -176,7 +197,11 @@
 // beginStream initialises the stream state and writes the header of the backend
 // server's response.
 func (ga *Gateway) beginStream(re *request, ex *backend.Exchange) {
-	re.stream = &streamState{resumeAfter: re.headers.LastEventID}
+	re.stream = &streamState{
+		resumeAfter: re.headers.LastEventID,
+		mediaType:   mediaType(ex.Response),
+		encoding:    ex.Response.Header.Get("Content-Encoding"),
+	}
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
