gateway: what is no event does not end a resumed stream as complete

Callers: a stream had begun and broke off; the next engine's answer had the header of an event stream and then a text such as "error: overloaded", or nothing.

Cause: finishStream relayed all that was left at the end of an answer, and took any end behind a relayed event as the end of the stream.

Evidence: TestEndWithoutEventIsNoEndOfResumedStream on the code before failed for 5 of 10 cases, "An error is expected but got nil": a length of zero, a cut before the first byte, blank lines and a cut, the text alone and behind an event.

Fix: at the end of an answer that goes on with a stream, what is left must be events or comments. An answer without an event ends the stream only if it says so itself, by its last chunk: an engine that is asked to go on behind the last event has none left. One that ends with its connection, or declares a length of zero, may be cut off or an error.

Left as it is: the first answer to a request is the engine's own and is passed on unchanged, whatever its events say.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -118,3 +118,48 @@
 		require.Equal(t, 3, calls)
 	})
 }
+
+// TestEndWithoutEventIsNoEndOfResumedStream guards against a stream that ends as complete
+// before its last event, because the next engine sent something else than events or was cut.
+func TestEndWithoutEventIsNoEndOfResumedStream(t *testing.T) {
+	for name, answer := range map[string]struct {
+		body string
+		line string
+	}{
+		"length of zero":            {"", lengthLine("")},
+		"cut before its first byte": {"", "Connection: close"},
+		"blank lines, then cut":     {"\n\n", "Connection: close"},
+		"text":                      {"error: overloaded\n\n", lengthLine("error: overloaded\n\n")},
+		"text behind an event":      {events(3, 3) + "error: overloaded\n\n", lengthLine(events(3, 3) + "error: overloaded\n\n")},
+		"head of an error":          {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n\n\n", "Connection: close"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, calls := resumeAfterTwo(t, 2, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				co.Printf("%s%s", answerHead(rq, http.StatusOK, signatureLine, eventStreamLine, answer.line), answer.body)
+				return false
+			})
+			require.Error(t, got.err, "the stream must not look complete")
+			require.True(t, strings.HasPrefix(events(1, 3), got.body), got.body)
+			require.Equal(t, 2, calls)
+		})
+	}
+	for name, rest := range map[string]string{
+		"nothing is left":   "",
+		"a final marker":    "data: [DONE]\n\n",
+		"a comment":         ": bye\n\n",
+		"events, a comment": events(3, 4) + ": bye\n\ndata: [DONE]\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, _ := resumeAfterTwo(t, 2, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				co.BeginStream(rq)
+				if rest != "" {
+					co.WriteChunk(rest)
+				}
+				co.EndStream()
+				return true
+			})
+			require.NoError(t, got.err)
+			require.Equal(t, events(1, 2)+rest, got.body)
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -30,6 +30,10 @@
 	lastID int64
 	// events is the number of relayed events that have an ID.
 	events int
+	// resumed reports that an attempt goes on with the stream; it began when eventsBefore
+	// events had been relayed.
+	resumed      bool
+	eventsBefore int
 	// resumeAfter is the Last-Event-ID of the caller's own request.
 	resumeAfter string
 	// mediaType and encoding are those of the response that the caller receives.
@@ -87,6 +91,9 @@
 	pending := make([]byte, 0, streamBufferBytes)
 	chunk := make([]byte, streamBufferBytes)
 	progress := &answerProgress{}
+	if st := re.stream; st != nil {
+		st.resumed, st.eventsBefore = true, st.events
+	}
 	re.setStreamIdleDeadline(ex)
 	for {
 		count, err := ex.Response.Body.Read(chunk)
@@ -265,6 +272,9 @@
 	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
+	if re.stream != nil && re.stream.resumed && !re.stream.isEndedBy(ex, rest) {
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
+	}
 	if re.stream == nil {
 		ga.beginStream(re, ex)
 	}
@@ -278,6 +288,29 @@
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
 
+// isEndedBy reports whether the regular end of a response is the end of a stream with which
+// it goes on. rest is what followed the last relayed event. A response that neither has an
+// event nor says by its own end that none is left may be an error or cut off.
+func (st *streamState) isEndedBy(ex *backend.Exchange, rest []byte) bool {
+	for block := range bytes.SplitSeq(rest, eventSeparator) {
+		if block = bytes.Trim(block, "\r\n"); len(block) > 0 && !isEvent(block) {
+			return false
+		}
+	}
+	hasEvent := st.events > st.eventsBefore || hasData(rest)
+	return hasEvent || (!ex.EndsWithConnection() && ex.Response.ContentLength != 0)
+}
+
+// isEvent reports whether a block of a stream is an event or a comment.
+func isEvent(block []byte) bool {
+	for _, field := range []string{":", "data", "event", "id", "retry"} {
+		if bytes.HasPrefix(block, []byte(field)) {
+			return true
+		}
+	}
+	return hasData(block)
+}
+
 // hasAnyEvent reports whether the caller has received an event of the stream, also in an
 // earlier request that it goes on with.
 func (re *request) hasAnyEvent() bool {
