gateway: a stream that the caller goes on with begins behind its last event

Cause: the order of events was checked only from the second one with an ID that this host relayed.

Evidence: TestCallersStreamGoesOnBehindItsLastEvent on the code before: after Last-Event-Id 5 the caller got "id: 1", "id: 5" and "id: 7" as the first event.

Fix: on a resumable route the first event must follow the caller's last one, if that is a number. The response to the caller begins only with the first event that may be relayed, so that an engine which begins elsewhere can be followed by another one, or by an error with its own status.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -163,3 +163,44 @@
 		})
 	}
 }
+
+// TestCallersStreamGoesOnBehindItsLastEvent guards against events that a caller gets twice or
+// never, because the engine that it goes on at begins elsewhere in the stream.
+func TestCallersStreamGoesOnBehindItsLastEvent(t *testing.T) {
+	for name, first := range map[string]int{"from the beginning": 1, "with the last event once more": 5, "with an event missing": 7} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				begin := first
+				if calls.Add(1) > 1 {
+					begin = rq.LastEventID() + 1
+				}
+				co.Respond(rq, http.StatusOK, events(begin, 8), eventStreamLine)
+				return true
+			}
+			fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+			got := fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: 5")
+			require.NoError(t, got.err)
+			require.Equal(t, events(6, 8), got.body)
+			require.Equal(t, int64(2), calls.Load())
+		})
+	}
+	t.Run("no engine does", func(t *testing.T) {
+		engine := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			co.Respond(rq, http.StatusOK, events(1, 8), eventStreamLine)
+			return true
+		})
+		fx := newFixture(t, nil, []*fakeserver.Server{engine})
+		got := fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: 5")
+		require.NotContains(t, got.body, "id: ")
+		require.True(t, got.err != nil || got.status >= http.StatusInternalServerError, "status %d", got.status)
+	})
+	t.Run("IDs that are no numbers", func(t *testing.T) {
+		engine := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			co.Respond(rq, http.StatusOK, events(1, 2), eventStreamLine)
+			return true
+		})
+		fx := newFixture(t, nil, []*fakeserver.Server{engine})
+		require.Equal(t, events(1, 2), fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: a7").body)
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,8 +26,9 @@
 
 // streamState is the progress of a stream towards the caller.
 type streamState struct {
-	// lastID is the ID of the last complete event that was relayed.
-	lastID int64
+	// lastID is the ID of the last complete event that the caller has, if hasLastID is set.
+	lastID    int64
+	hasLastID bool
 	// events is the number of relayed events that have an ID.
 	events int
 	// resumed reports that an attempt goes on with the stream; it began when eventsBefore
@@ -163,12 +164,16 @@
 // response header if they are the first, and returns their length. Events before one that
 // is out of order are still relayed, so that the stream can be resumed after them.
 func (ga *Gateway) relayEvents(re *request, ex *backend.Exchange, data []byte) (int, error) {
-	if re.stream == nil {
-		ga.beginStream(re, ex)
+	st := re.stream
+	if st == nil {
+		st = newStreamState(re, ex.Response)
 	}
-	accepted, cause := re.stream.acceptEvents(data)
+	accepted, cause := st.acceptEvents(data)
 	if len(accepted) > 0 {
-		re.stream.recordRelayed(ga.clock.Now())
+		if re.stream == nil {
+			ga.beginStream(re, ex, st)
+		}
+		st.recordRelayed(ga.clock.Now())
 		if err := ga.writeAndFlush(re, accepted); err != nil {
 			return 0, err
 		}
@@ -201,14 +206,22 @@
 	}
 }
 
-// beginStream initialises the stream state and writes the header of the backend
-// server's response.
-func (ga *Gateway) beginStream(re *request, ex *backend.Exchange) {
-	re.stream = &streamState{
+// newStreamState returns the state of a stream that begins with a response.
+func newStreamState(re *request, response *http.Response) *streamState {
+	st := &streamState{
 		resumeAfter: re.headers.LastEventID,
-		mediaType:   mediaType(ex.Response),
-		encoding:    ex.Response.Header.Get("Content-Encoding"),
+		mediaType:   mediaType(response),
+		encoding:    response.Header.Get("Content-Encoding"),
+	}
+	if id, err := strconv.ParseInt(st.resumeAfter, 10, 64); err == nil && re.route.Resumable {
+		st.lastID, st.hasLastID = id, true
 	}
+	return st
+}
+
+// beginStream sets the stream state and writes the header of the backend server's response.
+func (ga *Gateway) beginStream(re *request, ex *backend.Exchange, st *streamState) {
+	re.stream = st
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
@@ -222,16 +235,16 @@
 }
 
 // acceptEvent records one event and reports whether it has an ID. IDs must increase by
-// one.
+// one, also from the last event that the caller had before.
 func (st *streamState) acceptEvent(event []byte) (bool, error) {
 	id, ok := eventID(event)
 	if !ok {
 		return false, nil
 	}
-	if st.events > 0 && id != st.lastID+1 {
+	if st.hasLastID && id != st.lastID+1 {
 		return true, errors.Errorf("event %d follows event %d", id, st.lastID)
 	}
-	st.lastID = id
+	st.lastID, st.hasLastID = id, true
 	st.events++
 	return true, nil
 }
@@ -276,7 +289,7 @@
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
 	}
 	if re.stream == nil {
-		ga.beginStream(re, ex)
+		ga.beginStream(re, ex, newStreamState(re, ex.Response))
 	}
 	if len(rest) > 0 {
 		if err := ga.writeAndFlush(re, rest); err != nil {
