gateway: a stream whose events have no IDs is not resumed

Callers: a resumable stream whose events had no ID broke off; it went on with its own beginning at the next engine, and ended as complete (ORDER).

Cause: events with data and no ID are relayed as they come while no ID was seen; without one the next engine was asked for the stream from its beginning.

Evidence: TestStreamWithoutIDsIsNotResumed on the code before: "An error is expected but got nil", the first two events came twice.

Fix: such a request counts as one that must not be repeated, so the connection is aborted and no engine runs it again. Before its first relayed event, and once an event with an ID was relayed, it may be resumed as before.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -88,9 +88,9 @@
 }
 
 // repeatable reports whether the request may be sent again after a backend server
-// may have run it.
+// may have run it. A stream of which events without IDs were relayed can't be resumed.
 func (re *request) repeatable() bool {
-	return re.route.Repeatable()
+	return re.route.Repeatable() && (re.stream == nil || re.stream.events > 0)
 }
 
 // log adds the event name and the request ID to a log line.
--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -204,3 +204,25 @@
 		require.Equal(t, events(1, 2), fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: a7").body)
 	})
 }
+
+// TestStreamWithoutIDsIsNotResumed guards against a stream that is begun once more in the
+// middle of itself: without IDs, no engine can be told where to go on.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	const half = "data: one\n\ndata: two\n\n"
+	var calls atomic.Int64
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.BeginStream(rq)
+		co.WriteChunk(half)
+		if calls.Add(1) == 1 {
+			return false
+		}
+		co.WriteChunk("data: three\n\n")
+		co.EndStream()
+		return true
+	}
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+	got := fx.post(resumablePath, "r-1", "prompt")
+	require.Error(t, got.err, "the stream must not look complete")
+	require.Equal(t, half, got.body)
+	require.Equal(t, int64(1), calls.Load())
+}
