gateway: property test of resumed streams

For answers of any status, type, framing and content to a request that goes on with a stream, what the caller receives is a beginning of the whole stream, and looks complete only if it is the whole.

Left out of the draw: an event stream that is empty and ends by itself while events are left. It is also what an engine sends that is asked to go on behind the last event, so it counts as the end.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -8,7 +8,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
+	_ "github.com/mangopaddle/mangopaddle/fixedseed" // draws the same cases in every run
 	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
@@ -39,7 +41,7 @@
 // resumeAfterTwo starts engines of which the first to be called breaks off after two
 // events and each further one responds with next. It returns what the caller received and
 // the number of calls.
-func resumeAfterTwo(t *testing.T, attempts int, next fakeserver.Handler, headers ...string) (clientResponse, int) {
+func resumeAfterTwo(t *testing.T, attempts int, next fakeserver.Handler) (clientResponse, int) {
 	t.Helper()
 	var calls atomic.Int64
 	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
@@ -57,7 +59,7 @@
 	}
 	fx := newFixture(t, nil, engines)
 	fx.setResumableRoute("max_attempts", attempts)
-	got := fx.post(resumablePath, "r-1", "prompt", headers...)
+	got := fx.post(resumablePath, "r-1", "prompt")
 	return got, int(calls.Load())
 }
 
@@ -226,3 +228,99 @@
 	require.Equal(t, half, got.body)
 	require.Equal(t, int64(1), calls.Load())
 }
+
+// nextAnswer is the answer of an engine that is asked to go on with a stream.
+type nextAnswer struct {
+	status  int
+	skip    int // events that are left out; negative for those that come once more
+	extra   string
+	lines   []string
+	framing string
+}
+
+func drawNextAnswer(rt *rapid.T) nextAnswer {
+	fits := rapid.Bool().Draw(rt, "header fits")
+	na := nextAnswer{
+		status:  http.StatusOK,
+		skip:    rapid.SampledFrom([]int{0, 0, 0, -1, 1, -100}).Draw(rt, "skip"),
+		framing: rapid.SampledFrom([]string{"length", "chunks", "connection", "cut"}).Draw(rt, "framing"),
+		lines:   []string{signatureLine, eventStreamLine},
+		extra: rapid.SampledFrom([]string{
+			"", "", "error: overloaded\n\n", "{\"error\":1}\n\n", "HTTP/1.1 500 Internal Server Error\r\n\r\n\n\n", "id: 99\ndata: x\n\n",
+			"id: 4", "<html>", ": comment\n\n", strings.Repeat("x\n\n", 100_000),
+		}).Draw(rt, "extra"),
+	}
+	if !fits {
+		na.status = rapid.SampledFrom([]int{200, 201, 204, 206, 302, 400, 404, 421, 429, 500, 502, 503}).Draw(rt, "status")
+		na.lines = []string{
+			rapid.SampledFrom([]string{signatureLine, signatureLine, "X-None: 1", "Not-Executed: 1"}).Draw(rt, "signature"),
+			rapid.SampledFrom([]string{eventStreamLine, "Content-Type: application/json", "X-None: 2"}).Draw(rt, "type"),
+			rapid.SampledFrom([]string{"X-None: 3", "Content-Encoding: gzip", "Connection: close", "Trailer: X-Trailer"}).Draw(rt, "line"),
+		}
+	}
+	return na
+}
+
+// write writes the answer to a request for the rest of a stream of events with IDs from 1 to
+// last. It has an event if any is left: no host can tell an empty stream from the end.
+func (na nextAnswer) write(co *fakeserver.Conn, rq fakeserver.Request, last int) bool {
+	first := rq.LastEventID() + 1
+	if first <= last {
+		first = min(max(1, first+na.skip), last)
+	}
+	body := events(first, last) + na.extra
+	switch na.framing {
+	case "chunks":
+		co.Printf("%s%x\r\n%s\r\n0\r\nX-Trailer: overloaded\r\n\r\n", answerHead(rq, na.status, append(na.lines, "Transfer-Encoding: chunked")...), len(body), body)
+		return true
+	case "length":
+		co.Printf("%s%s", answerHead(rq, na.status, append(na.lines, lengthLine(body))...), body)
+		return true
+	case "connection":
+		co.Printf("%s%s", answerHead(rq, na.status, append(na.lines, "Connection: close")...), body)
+		return false
+	default:
+		co.Printf("%s%s", answerHead(rq, na.status, append(na.lines, lengthLine(body))...), body[:len(body)/2])
+		return false
+	}
+}
+
+// TestCallerGetsABeginningOfTheStream checks for any answers of the engines that are asked to
+// go on with a stream that what the caller receives is a beginning of the whole stream, and
+// looks complete only if it is the whole.
+func TestCallerGetsABeginningOfTheStream(t *testing.T) {
+	const engineCount = 120 // so that few are avoided after failures
+	var current atomic.Pointer[fakeserver.Handler]
+	var engines []*fakeserver.Server
+	for range engineCount {
+		engines = append(engines, startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool { return (*current.Load())(co, rq) }))
+	}
+	fx := newFixture(t, nil, engines)
+	fx.setResumableRoute("max_attempts", 3)
+	rapid.Check(t, func(rt *rapid.T) {
+		last := rapid.IntRange(1, 6).Draw(rt, "events of the whole stream")
+		broken := rapid.IntRange(1, last).Draw(rt, "events until it breaks off")
+		answers := []nextAnswer{drawNextAnswer(rt), drawNextAnswer(rt)}
+		var calls atomic.Int64
+		var handler fakeserver.Handler = func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			call := int(calls.Add(1))
+			if call > 1 {
+				return answers[min(call-2, len(answers)-1)].write(co, rq, last)
+			}
+			co.BeginStream(rq)
+			for id := range broken {
+				co.WriteEvent(id + 1)
+			}
+			return false
+		}
+		current.Store(&handler)
+		got := fx.post(resumablePath, "r-1", "prompt")
+		whole, received := events(1, last), strings.ReplaceAll(got.body, ": comment\n\n", "")
+		if got.status != http.StatusOK || !strings.HasPrefix(whole, received) {
+			rt.Fatalf("status %d, received %q, %v", got.status, received, got.err)
+		}
+		if got.err == nil && received != whole {
+			rt.Fatalf("ends as complete after %q", received)
+		}
+	})
+}
