gateway, backend: a refusal written once more is not of a request with the same ID

Callers: one whose request was refused sends it again with the same ID. The engine writes the refusal once more on the kept connection and then runs the request: the caller is told "not run, try again" (REFUSED), or the request goes to a second engine (TWICE).

Cause: an answer is matched by its ID, and requests may have the same one: the host sent the second on the connection on which the first was refused.

Fix: a connection remembers the IDs that were refused on it, at most 64, and is not used for one of them again; a new one is opened. Other connections are kept, since each new one to an engine has its price.

A repeat that comes while the connection is idle closes it (Conn.isReusable), one behind an answer too (Exchange.Finish).

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	// maxUnrelatedBytes is the longest body of a response to another request that
 	// is skipped.
 	maxUnrelatedBytes = 256 << 10
+	// maxRefused is the number of refused requests after which a connection is closed.
+	maxRefused = 64
 )
 
 // Errors of an exchange. Callers may get their texts, which call a response an
@@ -49,6 +52,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	exchanges   int         // requests sent so far
+	refused     []string    // IDs of requests that the server refused on this connection
 	broken      atomic.Bool // must not be reused
 	bodyWritten chan error  // result of writing a long body concurrently
 }
@@ -107,6 +111,10 @@
 // response to which may arrive in place of the one to the present request.
 func (co *Conn) Reused() bool { return co.exchanges > 1 }
 
+// HasRefused reports whether the server has refused a request with an ID on the
+// connection. It may write that response once more.
+func (co *Conn) HasRefused(id string) bool { return slices.Contains(co.refused, id) }
+
 // Exchange is a request that was sent, with its response. It must be ended with
 // Finish or Abort.
 type Exchange struct {
@@ -247,6 +255,15 @@
 	ex.pool.put(co, idleTimeout)
 }
 
+// FinishRefused is Finish for a response by which the server refuses the request with an ID.
+func (ex *Exchange) FinishRefused(id string, idleTimeout time.Duration) {
+	if ex.conn.refused = append(ex.conn.refused, id); len(ex.conn.refused) >= maxRefused {
+		ex.Abort()
+		return
+	}
+	ex.Finish(idleTimeout)
+}
+
 // bodySent reports whether the whole request was written.
 func (co *Conn) bodySent() bool {
 	if co.bodyWritten == nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -80,6 +80,18 @@
 	return po, po.close
 }
 
+// GetFor is like Get, but never returns a connection on which the server has refused a
+// request with the same ID: that response, written once more, would be taken for the one
+// to the present request.
+func (po *Pool) GetFor(ctx context.Context, id, address string, maxIdleAge time.Duration) (*Conn, error) {
+	co, err := po.Get(ctx, address, maxIdleAge)
+	if err != nil || !co.HasRefused(id) {
+		return co, errors.Trace(err)
+	}
+	po.drop(co)
+	return po.Get(ctx, address, 0)
+}
+
 // Get returns an idle connection that was last used less than maxIdleAge ago,
 // or else opens a new one. A maxIdleAge of zero always opens a new one. If Get
 // returns an error, no byte of the request was sent.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -128,7 +128,7 @@
 // exchange sends the request on a pooled or new connection and relays the response. It
 // sets firstEventSeen when the first event or the whole buffered response has arrived.
 func (ga *Gateway) exchange(ctx context.Context, re *request, ch placement.Choice, firstEventSeen *bool) result {
-	co, err := ga.backends.Get(ctx, ch.Server.Address, re.maxIdle())
+	co, err := ga.backends.GetFor(ctx, string(re.headers.ID), ch.Server.Address, re.maxIdle())
 	if err != nil {
 		return result{outcome: placement.Unreachable, err: err}
 	}
@@ -232,7 +232,7 @@
 		return result{outcome: placement.Misdirected, err: errors.Errorf("another server has address %s", ch.Server.Address)}
 	case headers.NotExecuted:
 		_, _ = io.Copy(io.Discard, io.LimitReader(ex.Response.Body, maxBufferedBytes))
-		ex.Finish(headers.IdleTimeout)
+		ex.FinishRefused(string(re.headers.ID), headers.IdleTimeout)
 		return result{outcome: placement.Rejected, err: errors.Errorf("the server did not run the request (status %d)", status)}
 	case !headers.Signed:
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("answer with status %d without a signature", status)}
--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -341,3 +341,49 @@
 		require.NotEqual(t, http.StatusOK, fx.post(nonIdempotentPath, "r-1", "order").status)
 	})
 }
+
+// TestRepeatedRefusalIsOfTheEarlierRequest guards against a refusal that an engine writes once
+// more on a kept connection and that is taken for one of the present request, which runs.
+func TestRepeatedRefusalIsOfTheEarlierRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 %d Refused\r\n%sNot-Executed: 1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n"
+	for name, refused := range map[string]struct {
+		status   int
+		idLine   string
+		secondID string
+	}{
+		"of another request":           {503, "Request-Id: r-1\r\n", "r-2"},
+		"of one with the same ID":      {503, "Request-Id: r-1\r\n", "r-1"},
+		"rate limit of the same ID":    {429, "Request-Id: r-1\r\n", "r-1"},
+		"misdirection of the same ID":  {421, "Request-Id: r-1\r\n", "r-1"},
+		"overload without an ID":       {503, "", "r-2"},
+		"rate limit without an ID":     {429, "", "r-2"},
+		"misdirection without an ID":   {421, "", "r-2"},
+		"invalid request without ID":   {400, "", "r-2"},
+		"of the same, without ID":      {503, "", "r-1"},
+		"interim, then of another one": {503, "Request-Id: r-1\r\n", "r-3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var refusals atomic.Int64
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				if refusals.Add(1) == 1 {
+					co.Printf("HTTP/1.1 503 Refused\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n", rq.ID)
+					return true
+				}
+				if rq.ID == "r-3" {
+					co.Printf("HTTP/1.1 103 Early Hints\r\n\r\n")
+				}
+				if rq.ConnectionNumber == 1 { // the earlier refusal once more
+					co.Printf(refusal, refused.status, refused.idLine)
+				}
+				co.Respond(rq, http.StatusOK, "ran")
+				return true
+			}
+			app := startServer(t, handler)
+			fx := newFixture(t, []*fakeserver.Server{app}, nil)
+			require.Equal(t, http.StatusServiceUnavailable, fx.post(nonIdempotentPath, "r-1", "order").status)
+			got := fx.post(nonIdempotentPath, refused.secondID, "order")
+			require.Equal(t, "ran", got.body, "status %d", got.status)
+			require.Equal(t, 2, requestCount(app), "the request ran once")
+		})
+	}
+}
