engine: an answer to an earlier request does not count as one to the present

Callers (own API): told that their request "was not run" while an engine ran it (REFUSED): the engine had written an earlier refusal once more on a kept connection. A late stream of another request was relayed in the same way (MIXED).

Cause: net/http takes the next answer on a connection for that of the present request, and the client did not compare IDs.

Fix: an answer with the ID of another request fails the attempt, which may have run. A refusal without an ID on a connection with earlier requests no longer counts as a statement that nothing ran. The fake engine repeats the request's ID, as the operators' engines do.

What remains: engines that repeat no ID are told apart only by the connection; a late stream of theirs can't be told from the present one, and a refusal by them on a kept connection ends as "engines failed" rather than "not run".

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,8 +10,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -166,13 +168,17 @@
 	defer progressTimer.Stop()
 	progressTimer.Stop() // runs only between events
 	rq.OnEvent = cl.restartTimerOnEvent(progressTimer, rq.OnEvent)
-	response, err := cl.send(ctx, rq)
+	response, reused, err := cl.send(ctx, rq)
 	if err != nil {
 		return cl.handleFailure(ctx, rq, StageSend, err)
 	}
 	defer response.Body.Close()
+	answered := response.Header.Get(mp.HeaderRequestID)
+	if answered != "" && answered != string(rq.ID) {
+		return &Failure{Stage: StageSend, cause: errors.Errorf("the engine answered request %q", answered)}
+	}
 	if response.StatusCode != http.StatusOK {
-		return newRefusal(response)
+		return newRefusal(response, reused && answered == "")
 	}
 	if err := checkResumeOffset(rq, response); err != nil {
 		return err
@@ -191,17 +197,24 @@
 	return cl.handleFailure(ctx, rq, StageStream, body.err)
 }
 
-func (cl *Client) send(ctx context.Context, rq Request) (*http.Response, error) {
+// send sends the request and reads the header of its response. It reports whether the
+// connection has carried an earlier request.
+func (cl *Client) send(ctx context.Context, rq Request) (*http.Response, bool, error) {
+	var reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+	})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rq.Address+rq.Path, bytes.NewReader(rq.Body))
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, false, errors.Trace(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(mp.HeaderRequestID, string(rq.ID))
 	if rq.ResumeAt > 0 {
 		request.Header.Set(mp.HeaderLastEventID, strconv.FormatInt(int64(rq.ResumeAt), 10))
 	}
-	return cl.transportFor(rq.Address).RoundTrip(request)
+	response, err := cl.transportFor(rq.Address).RoundTrip(request)
+	return response, reused.Load(), err
 }
 
 // stopTimerOnEvent returns a function that stops the timer and then calls onEvent.
@@ -284,9 +297,9 @@
 	rq.OnLoad(mp.EngineLoad{Running: running, Waiting: waiting})
 }
 
-func newRefusal(response *http.Response) error {
+func newRefusal(response *http.Response, unconfirmed bool) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, int64(maxErrorBodyBytes)))
-	return &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text}
+	return &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text, Unconfirmed: unconfirmed}
 }
 
 // idleTimeoutReader runs the idle timer only while a read waits for the engine,
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -36,6 +36,9 @@
 	// Status and Body are the engine's response, set at StageRefused only.
 	Status int
 	Body   []byte
+	// Unconfirmed reports that the response came on a connection with earlier requests
+	// and without a request ID, so that it may be one to them, written once more.
+	Unconfirmed bool
 	// IdleTimedOut reports that the engine sent no data within the idle timeout.
 	IdleTimedOut bool
 	// FirstEventTimedOut reports that the first event did not arrive in time.
@@ -68,7 +71,7 @@
 // error other than 503 may have failed in the middle of the work.
 func (fa *Failure) NotRun() bool {
 	if fa.Stage == StageRefused {
-		return fa.Status < http.StatusInternalServerError || fa.Status == http.StatusServiceUnavailable
+		return !fa.Unconfirmed && (fa.Status < http.StatusInternalServerError || fa.Status == http.StatusServiceUnavailable)
 	}
 	return fa.Unreachable()
 }
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -12,6 +12,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
 // startEngine serves a fixed body and headers to every request and returns the
@@ -114,6 +115,61 @@
 	require.True(t, failure.IdleTimedOut)
 }
 
+// TestRepeatedRefusalDoesNotSayThatNothingRan guards against a refusal that an engine writes
+// once more on a kept connection, so that the caller is told that its request was not run.
+func TestRepeatedRefusalDoesNotSayThatNothingRan(t *testing.T) {
+	for name, repeated := range map[string]struct {
+		line   string
+		notRun bool
+	}{
+		"with the ID of the earlier request": {mp.HeaderRequestID + ": r-1\r\n", false},
+		"without an ID":                      {"", false},
+		"a refusal of the present request":   {mp.HeaderRequestID + ": r-2\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n"
+			server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				if rq.Header.Get(mp.HeaderRequestID) == "r-1" {
+					co.Printf(refusal, mp.HeaderRequestID+": r-1\r\n")
+					return true
+				}
+				co.Printf(refusal, repeated.line)
+				return true
+			})
+			require.NoError(t, err)
+			t.Cleanup(stop)
+			client, closeClient := engine.New()
+			t.Cleanup(closeClient)
+			run := func(id mp.RequestID) *engine.Failure {
+				err := client.Run(t.Context(), engine.Request{
+					ID: id, Address: server.Address(), Path: "/v1/chat/completions", Body: []byte("{}"),
+					OnEvent: func(engine.Event) error { return nil },
+				})
+				var failure *engine.Failure
+				require.ErrorAs(t, err, &failure)
+				return failure
+			}
+			require.True(t, run("r-1").NotRun())
+			second := run("r-2")
+			requests := server.Requests()
+			require.Equal(t, 1, requests[len(requests)-1].ConnectionNumber, "the connection is kept")
+			require.Equal(t, repeated.notRun, second.NotRun())
+			require.False(t, second.IsClientError())
+		})
+	}
+}
+
+// TestAnswerToAnotherRequestIsNotRelayed guards against a stream that an engine sends late, in
+// place of the answer to the next request on its connection.
+func TestAnswerToAnotherRequestIsNotRelayed(t *testing.T) {
+	address := startEngine(t, sseEvent(1, `"of another"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {"other"}})
+	events, err := runRequest(t, address, 0)
+	require.Empty(t, events)
+	var failure *engine.Failure
+	require.ErrorAs(t, err, &failure)
+	require.False(t, failure.NotRun())
+}
+
 // FuzzRelay checks that for any bytes from an engine the token counts never
 // fall and that a stream without the end marker is an error.
 func FuzzRelay(f *testing.F) {
--- a/fakeengine/completion.go
+++ b/fakeengine/completion.go
@@ -102,6 +102,9 @@
 	if err != nil {
 		return
 	}
+	if id := rq.Header.Get(mp.HeaderRequestID); id != "" {
+		rw.Header().Set(mp.HeaderRequestID, id)
+	}
 	cm, err := en.parseRequest(rq, body)
 	if err != nil {
 		writeError(rw, http.StatusBadRequest, err.Error())
