engine: an error that an engine reports in a stream does not get into it

Callers (own API): a stream had begun and broke off; the next engine took the request, sent an error as an event and ended.

Cause: an event without an ID was passed on whatever it said, and the end marker behind it completed the stream.

Evidence: TestErrorOfEngineIsNotRelayed on the code before failed for the five kinds of error event: "An error is expected but got nil".

Fix: an event of type "error", or whose data has a top-level error, ends the attempt as a failure, as a broken connection does: the answer goes on at another engine, or ends without its end marker.

Ruled out by the other cases, which passed before: text, JSON, HTML, a head or nothing in place of events (no event, so nothing is relayed, and no end marker).

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/juju/errors"
+	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -19,13 +20,13 @@
 }
 
 // relay delivers the events that the caller does not have yet. It returns only
-// errors of the request's OnEvent; a stream that breaks off leaves complete
-// false.
+// errors of the request's OnEvent; a stream that breaks off, or in which the engine
+// reports an error, leaves complete false.
 func (st *stream) relay(body io.Reader) error {
 	var eventErr error
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: int(maxEventBytes)})
 	events(func(ev sse.Event, err error) bool {
-		if err != nil {
+		if err != nil || isError(ev) {
 			return false
 		}
 		if ev.Data == mp.StreamEnd {
@@ -55,6 +56,18 @@
 	return st.request.OnEvent(Event{TokenCount: tokenCount, Data: ev.Data})
 }
 
+// isError reports whether an event is an error of the engine, which ends its work.
+func isError(ev sse.Event) bool {
+	if ev.Type == "error" {
+		return true
+	}
+	if !strings.Contains(ev.Data, `"error"`) {
+		return false
+	}
+	reported := gjson.Get(ev.Data, "error")
+	return reported.IsObject() || reported.Type == gjson.String
+}
+
 // IsUsage reports whether an event's data is the usage event at the end of a
 // stream, which carries no token.
 func IsUsage(data string) bool {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -170,6 +170,38 @@
 	require.False(t, failure.NotRun())
 }
 
+// TestErrorOfEngineIsNotRelayed guards against the text of an engine's error in the middle of a
+// stream that had begun at another one, or a stream that ends with it as complete.
+func TestErrorOfEngineIsNotRelayed(t *testing.T) {
+	resumed := http.Header{http.CanonicalHeaderKey(mp.HeaderResumedAt): {"4"}}
+	for name, text := range map[string]string{
+		"error event, end":           "data: {\"error\":{\"message\":\"overloaded\"}}\n\n" + endEvent,
+		"error event with an ID":     sseEvent(5, `{"error":{"message":"overloaded"}}`) + endEvent,
+		"error as text":              "data: {\"error\": \"overloaded\"}\n\n" + endEvent,
+		"event of type error":        "event: error\ndata: overloaded\n\n" + endEvent,
+		"plain text":                 "error: overloaded\n\n",
+		"JSON":                       `{"error":{"message":"overloaded"}}`,
+		"head of an answer":          "HTTP/1.1 500 Internal Server Error\r\n\r\noverloaded\n\n",
+		"nothing":                    "",
+		"HTML":                       "<html>overloaded</html>\n\n",
+		"error event behind a token": sseEvent(5, `"five"`) + "data: {\"error\":{\"message\":\"overloaded\"}}\n\n" + endEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, err := runRequest(t, startEngine(t, text, resumed), 4)
+			var failure *engine.Failure
+			require.ErrorAs(t, err, &failure, "the stream must not look complete")
+			require.False(t, failure.NotRun())
+			for _, ev := range events {
+				require.Equal(t, engine.Event{TokenCount: 5, Data: `"five"`}, ev)
+			}
+		})
+	}
+	sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":null}`)
+	events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
+
 // FuzzRelay checks that for any bytes from an engine the token counts never
 // fall and that a stream without the end marker is an error.
 func FuzzRelay(f *testing.F) {
