caller: the refusal of a resumed stream does not get into it

Callers (own API): a stream had begun and broke off; the next engine refused the request (400, 413). The caller found that engine's text behind its events, as an error that also says that the request was not run.

Cause: a refusal that every engine would give ended the request at once, also when another engine had already run it.

Evidence: TestRefusalOfResumedStreamIsNotWrittenIntoIt on the code before failed for 400 and 413: the body has "the engine refused the request: text of the engine". 429 and 500 passed.

Fix: once an engine may have run the request, a refusal is a failed attempt like others: the next engine is tried within the retry budget, and then the stream ends with the router's own error and without its end marker.

--- a/caller/completion_request.go
+++ b/caller/completion_request.go
@@ -103,7 +103,7 @@
 			cr.lease.Release(cr.attemptOutcome(false))
 			return mp.WrapError(err, mp.KindCallerGone, "the caller disconnected before the end of the answer")
 		}
-		if failure.IsClientError() {
+		if failure.IsClientError() && !cr.mayHaveRun {
 			cr.lease.Release(cr.attemptOutcome(false))
 			return mp.WrapError(err, mp.KindInvalidRequest, "the engine refused the request: %s", engineErrorMessage(failure))
 		}
--- /dev/null
+++ b/e2e/resume_test.go
@@ -0,0 +1,55 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/quickstart"
+	"github.com/mangopaddle/mangopaddle/testkit"
+)
+
+// TestRefusalOfResumedStreamIsNotWrittenIntoIt guards against the text of an engine's error in a
+// stream that had begun at another engine.
+func TestRefusalOfResumedStreamIsNotWrittenIntoIt(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusTooManyRequests, http.StatusInternalServerError} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			var calls atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+				rw.Header().Set(mp.HeaderRequestID, rq.Header.Get(mp.HeaderRequestID))
+				if !strings.HasPrefix(rq.URL.Path, testkit.ChatPath) {
+					return
+				}
+				if calls.Add(1) > 1 {
+					http.Error(rw, `{"error":{"message":"text of the engine"}}`, status)
+					return
+				}
+				for id := range 2 {
+					_, _ = fmt.Fprintf(rw, "id: %d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"}}]}\n\n", id+1)
+				}
+				_ = http.NewResponseController(rw).Flush()
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(server.Close)
+			de := testkit.StartDeployment(t)
+			republish(t, de, func(fl *config.Fleet) {
+				for ix := range fl.Engines {
+					fl.Engines[ix].Address = strings.TrimPrefix(server.URL, "http://")
+				}
+			})
+			got := testkit.Post(t, de.Host.CallerAddress(), testkit.ChatPath, testkit.ChatBody(quickstart.ModelSmall, "q", true, "5"))
+			require.Contains(t, got.Body, "word ")
+			require.NotContains(t, got.Body, "text of the engine")
+			require.NotContains(t, got.Body, "invalid_request")
+			require.NotContains(t, got.Body, mp.StreamEnd)
+			require.Greater(t, calls.Load(), int64(1))
+		})
+	}
+}
