engine: an ID of the engine's own is no answer to another request

Callers (own API): with the fix "an answer to an earlier request does not count", an engine that gives its answers IDs of its own in X-Request-Id would have failed each request.

Fix: only an ID of the form that the router gives tells of another request. A refusal without the request's own ID on a connection with earlier requests stays unconfirmed.

--- a/engine/client.go
+++ b/engine/client.go
@@ -173,12 +173,12 @@
 		return cl.handleFailure(ctx, rq, StageSend, err)
 	}
 	defer response.Body.Close()
-	answered := response.Header.Get(mp.HeaderRequestID)
-	if answered != "" && answered != string(rq.ID) {
+	answered := mp.RequestID(response.Header.Get(mp.HeaderRequestID))
+	if answered != rq.ID && answered.IsGenerated() {
 		return &Failure{Stage: StageSend, cause: errors.Errorf("the engine answered request %q", answered)}
 	}
 	if response.StatusCode != http.StatusOK {
-		return newRefusal(response, reused && answered == "")
+		return newRefusal(response, reused && answered != rq.ID)
 	}
 	if err := checkResumeOffset(rq, response); err != nil {
 		return err
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -37,7 +37,7 @@
 	Status int
 	Body   []byte
 	// Unconfirmed reports that the response came on a connection with earlier requests
-	// and without a request ID, so that it may be one to them, written once more.
+	// and without the request's ID, so that it may be one to them, written once more.
 	Unconfirmed bool
 	// IdleTimedOut reports that the engine sent no data within the idle timeout.
 	IdleTimedOut bool
--- a/ids.go
+++ b/ids.go
@@ -1,6 +1,10 @@
 package mangopaddle
 
-import "github.com/google/uuid"
+import (
+	"strings"
+
+	"github.com/google/uuid"
+)
 
 // OrganisationID identifies a customer with a contract.
 type OrganisationID string
@@ -37,7 +41,16 @@
 
 // NewRequestID returns a new random identifier.
 func NewRequestID() RequestID {
-	return RequestID("req-" + uuid.NewString())
+	return RequestID(requestIDPrefix + uuid.NewString())
+}
+
+const requestIDPrefix = "req-"
+
+// IsGenerated reports whether the identifier has the form of those of NewRequestID. Engines
+// and services may give their answers identifiers of their own.
+func (id RequestID) IsGenerated() bool {
+	text, ok := strings.CutPrefix(string(id), requestIDPrefix)
+	return ok && uuid.Validate(text) == nil
 }
 
 // ConfigKey is the key of a value in the platform's store or in the published
