service: an answer to an earlier call is not returned for the present one

Callers (own API): one of a service that is idempotent gets the answer to another caller's call, which a replica wrote once more on a kept connection (MIXED); a refusal in the same way.

Cause: net/http takes the next answer on a connection for that of the present request, and the client did not compare IDs.

Evidence: TestAnswerToAnotherCallIsNotReturned on the code before: expected the answer to the second call, actual "earlier".

Fix: an answer with the ID that the router gave another call fails the attempt; the next replica is tried. Replicas that give their answers IDs of their own are served as before.

Ruled out: services that are not idempotent get a new connection for each call, so no earlier answer can arrive.

--- a/service/client.go
+++ b/service/client.go
@@ -103,6 +103,10 @@
 		return nil, sent.Load(), err
 	}
 	defer response.Body.Close()
+	answered := response.Header.Get(mp.HeaderRequestID)
+	if answered != call.Header.Get(mp.HeaderRequestID) && mp.RequestID(answered).IsGenerated() {
+		return nil, true, mp.NewError(mp.KindBackendFailed, "replica %q answered call %q", re.Name, answered)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxResponseBytes)+1))
 	if err != nil {
 		return nil, true, err
