--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -184,7 +184,7 @@
 // connect takes a pooled connection or opens a new one. It returns nil, or the result of
 // the failed attempt.
 func (ga *Gateway) connect(ctx context.Context, re *request, at *attempt) *result {
-	co, err := ga.backends.Get(ctx, at.choice.Server.Address, re.maxIdle())
+	co, err := ga.backends.GetFor(ctx, string(re.headers.ID), at.choice.Server.Address, re.maxIdle())
 	if err != nil {
 		return &result{outcome: placement.Unreachable, err: err}
 	}
@@ -278,7 +278,8 @@
 }
 
 // relay sends the backend server's response to the caller. A misdirected,
-// rejected or unsigned response fails the attempt.
+// rejected or unsigned response fails the attempt, and so does one to a stream that has
+// begun if it is not the rest of the stream.
 func (ga *Gateway) relay(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	status := ex.Response.StatusCode
 	switch {
@@ -286,10 +287,13 @@
 		return result{outcome: placement.Misdirected, err: errors.Errorf("another server has address %s", ch.Server.Address)}
 	case headers.NotExecuted:
 		_, _ = io.Copy(io.Discard, io.LimitReader(ex.Response.Body, maxBufferedBytes))
-		ex.Finish(headers.IdleTimeout)
+		ex.FinishRefused(string(re.headers.ID), headers.IdleTimeout)
 		return result{outcome: placement.Rejected, err: errors.Errorf("the server did not run the request (status %d)", status)}
 	case !headers.Signed:
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("answer with status %d without a signature", status)}
+	case re.stream != nil && !re.stream.isContinuedBy(ex.Response):
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d, type %q, encoding %q",
+			status, ex.Response.Header.Get("Content-Type"), ex.Response.Header.Get("Content-Encoding"))}
 	case status == http.StatusOK && re.route.Kind == routing.Stream:
 		return ga.relayStream(re, ch, ex, recordFirstEvent, headers)
 	default:
@@ -324,9 +328,6 @@
 		re.lastFailure = response
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered with status %d", response.status)}
 	}
-	if re.stream != nil {
-		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d", response.status)}
-	}
 	ga.writeResponse(re, response)
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -295,7 +294,7 @@
 // the caller's: a stream that has begun can only go on as a stream.
 func (re *request) mayTakeOver(at *attempt) bool {
 	return !at.headers.NotExecuted && at.headers.Signed &&
-		(re.stream == nil || at.exchange.Response.StatusCode == http.StatusOK)
+		(re.stream == nil || re.stream.isContinuedBy(at.exchange.Response))
 }
 
 // rejection returns the result of an attempt whose response can't be the caller's.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,9 +98,9 @@
 }
 
 // repeatable reports whether the request may be sent again after a backend server
-// may have run it.
+// may have run it. A stream of which events without IDs were relayed can't be resumed.
 func (re *request) repeatable() bool {
-	return re.route.Repeatable()
+	return re.route.Repeatable() && (re.stream == nil || re.stream.events > 0)
 }
 
 // log adds the event name and the request ID to a log line.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,12 +26,19 @@
 
 // streamState is the progress of a stream towards the caller.
 type streamState struct {
-	// lastID is the ID of the last complete event that was relayed.
-	lastID int64
+	// lastID is the ID of the last complete event that the caller has, if hasLastID is set.
+	lastID    int64
+	hasLastID bool
 	// events is the number of relayed events that have an ID.
 	events int
+	// resumed reports that an attempt goes on with the stream; it began when eventsBefore
+	// events had been relayed.
+	resumed      bool
+	eventsBefore int
 	// resumeAfter is the Last-Event-ID of the caller's own request.
 	resumeAfter string
+	// mediaType and encoding are those of the response that the caller receives.
+	mediaType, encoding string
 	// firstAt and lastAt are the times of the first and the last relayed events;
 	// longestGap is the longest time between two.
 	firstAt, lastAt time.Time
@@ -64,6 +72,24 @@
 	return strconv.FormatInt(st.lastID, 10)
 }
 
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isContinuedBy reports whether a response can be the rest of a stream that has begun, by
+// its header: a success with a stream of events, or with the type that the stream began
+// with, in the same encoding.
+func (st *streamState) isContinuedBy(response *http.Response) bool {
+	ty := mediaType(response)
+	return response.StatusCode == http.StatusOK && (ty == eventStreamType || ty == st.mediaType) &&
+		response.Header.Get("Content-Encoding") == st.encoding
+}
+
+// mediaType returns the media type of a response in lower case, without parameters.
+func mediaType(response *http.Response) string {
+	ty, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(ty))
+}
+
 // errCallerWrite is the error of a failed or timed-out write to the caller.
 const errCallerWrite = errors.ConstError("write to the caller failed")
 
@@ -80,6 +106,9 @@
 	if re.hasBegun() {
 		re.hedge.restart()
 	}
+	if st := re.stream; st != nil {
+		st.resumed, st.eventsBefore = true, st.events
+	}
 	re.hedge.release(re.idleTimeout(ch))
 	for {
 		count, err := ex.Response.Body.Read(chunk)
@@ -156,12 +185,16 @@
 // response header if they are the first, and returns their length. Events before one that
 // is out of order are still relayed, so that the stream can be resumed after them.
 func (ga *Gateway) relayEvents(re *request, ex *backend.Exchange, data []byte) (int, error) {
-	if re.stream == nil {
-		ga.beginStream(re, ex)
+	st := re.stream
+	if st == nil {
+		st = newStreamState(re, ex.Response)
 	}
-	accepted, cause := re.stream.acceptEvents(data)
+	accepted, cause := st.acceptEvents(data)
 	if len(accepted) > 0 {
-		re.stream.recordRelayed(ga.clock.Now())
+		if re.stream == nil {
+			ga.beginStream(re, ex, st)
+		}
+		st.recordRelayed(ga.clock.Now())
 		re.hedge.goOn()
 		if err := ga.writeAndFlush(re, accepted); err != nil {
 			return 0, err
@@ -195,10 +228,22 @@
 	}
 }
 
-// beginStream initialises the stream state and writes the header of the backend
-// server's response.
-func (ga *Gateway) beginStream(re *request, ex *backend.Exchange) {
-	re.stream = &streamState{resumeAfter: re.headers.LastEventID}
+// newStreamState returns the state of a stream that begins with a response.
+func newStreamState(re *request, response *http.Response) *streamState {
+	st := &streamState{
+		resumeAfter: re.headers.LastEventID,
+		mediaType:   mediaType(response),
+		encoding:    response.Header.Get("Content-Encoding"),
+	}
+	if id, err := strconv.ParseInt(st.resumeAfter, 10, 64); err == nil && re.route.Resumable {
+		st.lastID, st.hasLastID = id, true
+	}
+	return st
+}
+
+// beginStream sets the stream state and writes the header of the backend server's response.
+func (ga *Gateway) beginStream(re *request, ex *backend.Exchange, st *streamState) {
+	re.stream = st
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
@@ -212,16 +257,16 @@
 }
 
 // acceptEvent records one event and reports whether it has an ID. IDs must increase by
-// one.
+// one, also from the last event that the caller had before.
 func (st *streamState) acceptEvent(event []byte) (bool, error) {
 	id, ok := eventID(event)
 	if !ok {
 		return false, nil
 	}
-	if st.events > 0 && id != st.lastID+1 {
+	if st.hasLastID && id != st.lastID+1 {
 		return true, errors.Errorf("event %d follows event %d", id, st.lastID)
 	}
-	st.lastID = id
+	st.lastID, st.hasLastID = id, true
 	st.events++
 	return true, nil
 }
@@ -262,8 +307,11 @@
 	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
+	if re.stream != nil && re.stream.resumed && !re.stream.isEndedBy(ex, rest) {
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
+	}
 	if re.stream == nil {
-		ga.beginStream(re, ex)
+		ga.beginStream(re, ex, newStreamState(re, ex.Response))
 	}
 	if len(rest) > 0 {
 		if err := ga.writeAndFlush(re, rest); err != nil {
@@ -275,6 +323,29 @@
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
 
+// isEndedBy reports whether the regular end of a response is the end of a stream with which
+// it goes on. rest is what followed the last relayed event. A response that neither has an
+// event nor says by its own end that none is left may be an error or cut off.
+func (st *streamState) isEndedBy(ex *backend.Exchange, rest []byte) bool {
+	for block := range bytes.SplitSeq(rest, eventSeparator) {
+		if block = bytes.Trim(block, "\r\n"); len(block) > 0 && !isEvent(block) {
+			return false
+		}
+	}
+	hasEvent := st.events > st.eventsBefore || hasData(rest)
+	return hasEvent || (!ex.EndsWithConnection() && ex.Response.ContentLength != 0)
+}
+
+// isEvent reports whether a block of a stream is an event or a comment.
+func isEvent(block []byte) bool {
+	for _, field := range []string{":", "data", "event", "id", "retry"} {
+		if bytes.HasPrefix(block, []byte(field)) {
+			return true
+		}
+	}
+	return hasData(block)
+}
+
 // hasAnyEvent reports whether the caller has received an event of the stream, also in an
 // earlier request that it goes on with.
 func (re *request) hasAnyEvent() bool {
