schedule: a load report with impossible numbers is ignored

Callers (own API): requests are sent to a full engine, since it looks empty: its report, or one of something else at its address, has a number that is negative or so large that the sum overflows.

Cause: the numbers were taken as they came; a negative occupancy counts as none.

Evidence: on the code before TestOddLoadReportIsIgnored failed at {"running":-1,"waiting":0}: expected e1, actual e0; FuzzEngineReport failed on its seeds with -1, with -5, and with twice.

Fix: EngineLoad.IsPossible says which reports an engine can mean; the others are ignored, as too old ones are.

--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -132,9 +132,10 @@
 }
 
 // observeLoad records a load report. Reports older than maxReportAge are ignored:
-// hosts that act on stale load all pick the same engine.
+// hosts that act on stale load all pick the same engine. So are those that no engine can
+// mean.
 func (en *engine) observeLoad(now time.Time, load mp.EngineLoad) {
-	if load.Age.Std() > maxReportAge {
+	if load.Age.Std() > maxReportAge || !load.IsPossible() {
 		return
 	}
 	en.otherHostsInFlight = max(0, load.Running+load.Waiting-en.inFlight)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"encoding/json"
 	"strconv"
 	"testing"
 	"time"
@@ -285,6 +286,51 @@
 	require.Equal(t, mp.EngineID("e1"), sc.Submit(epoch, request(2, 0)).Engine)
 }
 
+// oddReports are load reports that no engine can mean.
+var oddReports = []string{
+	`{"running":-1,"waiting":0}`, `{"running":0,"waiting":-5}`, `{"running":9223372036854775807,"waiting":9223372036854775807}`,
+	`{"running":4611686018427387904,"waiting":0}`, `{"running":0,"waiting":2305843009213693952}`, `{"running":0,"waiting":0,"age":"-2s"}`,
+}
+
+// TestOddLoadReportIsIgnored guards against an engine that looks empty because of a load report
+// with a number that is negative or too large.
+func TestOddLoadReportIsIgnored(t *testing.T) {
+	for _, text := range oddReports {
+		var load mp.EngineLoad
+		require.NoError(t, json.Unmarshal([]byte(text), &load))
+		sc := schedule.New()
+		sc.SetEngines(engines(2, 10))
+		sc.ObserveLoad(epoch, "e0", mp.EngineLoad{Running: 10})
+		sc.ObserveLoad(epoch, "e1", mp.EngineLoad{Running: 6})
+		sc.ObserveLoad(epoch, "e0", load)
+		require.Equal(t, mp.EngineID("e1"), sc.Submit(epoch, request(1, 0)).Engine, text)
+	}
+}
+
+// FuzzEngineReport checks for any report of an engine that the scheduler starts a request, and
+// takes the engine for empty only if the report says so.
+func FuzzEngineReport(f *testing.F) {
+	for _, text := range append(oddReports, `{"running":3,"waiting":1,"age":"200ms"}`, `{}`, `{"running":1e300}`) {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var load mp.EngineLoad
+		if json.Unmarshal(data, &load) != nil {
+			return
+		}
+		sc := schedule.New()
+		sc.SetEngines(engines(2, 10))
+		sc.ObserveLoad(epoch, "e0", mp.EngineLoad{Running: 10})
+		sc.ObserveLoad(epoch, "e1", mp.EngineLoad{Running: 6})
+		sc.ObserveLoad(epoch, "e0", load)
+		de := sc.Submit(epoch, request(1, 0))
+		require.Equal(t, mp.ActionStart, de.Action)
+		if de.Engine == "e0" {
+			require.True(t, load.Running >= 0 && load.Running <= 6 && load.Waiting >= 0 && load.Waiting <= 6, "%+v", load)
+		}
+	})
+}
+
 func TestAtMostOneThirdOfEnginesIsEjected(t *testing.T) {
 	sc := schedule.New()
 	sc.SetEngines(engines(4, 10))
--- a/wire.go
+++ b/wire.go
@@ -28,3 +28,13 @@
 	// Age is the age of the numbers when the report is sent.
 	Age Duration `json:"age,omitempty"`
 }
+
+// maxEngineRequests is the largest number of requests that an engine can be taken to have.
+const maxEngineRequests = 1 << 20
+
+// IsPossible reports whether an engine can mean the report: no number is negative, and it
+// has no more requests than any engine can hold.
+func (el EngineLoad) IsPossible() bool {
+	inRange := func(count int) bool { return count >= 0 && count <= maxEngineRequests }
+	return inRange(el.Running) && inRange(el.Waiting) && el.Age >= 0
+}
