loadwatch: a load report without end is cut off

Callers (own API): an engine, or what has its address now, sends a report that doesn't end. The host holds all of it, from up to eight engines at a time, and may run over its memory limit and end.

Cause: the decoder read the body until the time-out of the call, and keeps a value until it is complete.

Evidence: TestReportWithoutEndIsCutOff on the code before: 65,368,968 bytes were sent in the half second of one call ("is not less than 4194304").

Fix: at most 64 KiB of a report are read.

--- a/loadwatch/loadwatch.go
+++ b/loadwatch/loadwatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +25,8 @@
 	defaultInterval = time.Second
 	callTimeout     = 500 * time.Millisecond
 	workerCount     = 8 // concurrent polls
+	// maxReportBytes is the longest report that is read.
+	maxReportBytes = 64 << 10
 )
 
 // MaxRemotePolls is the maximum number of engines of other data centres that are
@@ -168,5 +171,5 @@
 	if response.StatusCode != http.StatusOK {
 		return load, errors.Errorf("status %d", response.StatusCode)
 	}
-	return load, errors.Trace(json.NewDecoder(response.Body).Decode(&load))
+	return load, errors.Trace(json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&load))
 }
