routing: odd weights neither panic nor pick a service without a share

Callers: each request on a route whose weights add up to 2^32 has its connection closed without an answer, since its handler panics; with a negative weight a part of the requests finds no service, or one without a share.

Cause: the sum was taken as it came, and the hash divided by its lower 32 bits.

Evidence: TestServiceForOddWeights on the code before: "Panic value: runtime error: integer divide by zero" for twice 2^31, and service "" for -1 and 1.

Fix: a weight counts as at least zero and at most 2^32 - 1, and the sum has 64 bits. Requests on routes with other weights go where they went before, so that hosts of both versions agree.

--- a/routing/table.go
+++ b/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"slices"
 	"strings"
 
@@ -108,21 +109,26 @@
 	if len(ro.WeightedServices) == 1 {
 		return ro.WeightedServices[0].Service
 	}
-	total := 0
+	var total uint64
 	for _, we := range ro.WeightedServices {
-		total += we.Weight
+		total += we.limitedWeight()
 	}
-	if total <= 0 {
+	if total == 0 {
 		return ""
 	}
 	ha := fnv.New32a()
 	_, _ = ha.Write([]byte(id))
-	point := int(ha.Sum32() % uint32(total))
+	point := uint64(ha.Sum32()) % total
 	for _, we := range ro.WeightedServices {
-		if point < we.Weight {
+		if point < we.limitedWeight() {
 			return we.Service
 		}
-		point -= we.Weight
+		point -= we.limitedWeight()
 	}
 	return ""
 }
+
+// limitedWeight returns the weight, limited so that a sum of weights doesn't overflow.
+func (ws WeightedService) limitedWeight() uint64 {
+	return uint64(min(max(0, ws.Weight), math.MaxUint32))
+}
