gateway: tests of sound requests beside a quarantine and of answers without length

The operators' bounds on requests that crash servers were shown for the number of crashes and that sound ones are served; not that these begin at the first attempt, nor with guilty requests no two of which are alike. Answers that have neither a length nor chunks were tested where they are cut; now also whole ones, and a long one that is reset after its beginning was relayed.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -108,3 +108,33 @@
 	require.Zero(t, cp.logs.Count("segment_quarantined"))
 	require.Positive(t, cp.logs.Count("server_inspected"))
 }
+
+// TestSoundRequestsBesideQuarantineBeginAtTheFirstAttempt guards against sound requests
+// that are refused or sent twice because they share the caller, the first segment or
+// others with requests that crash servers, of which no two are alike.
+func TestSoundRequestsBesideQuarantineBeginAtTheFirstAttempt(t *testing.T) {
+	cp := newCrashPlay(t)
+	askGuilty := func(ix int) clientResponse {
+		filler := fmt.Sprintf("c%x:100", ix)
+		return cp.ask([][]string{{commonSegment, crashSegment}, {crashSegment, commonSegment}, {commonSegment, filler, crashSegment}, {filler, crashSegment, "b2:200"}}[ix%4]...)
+	}
+	for ix := 0; cp.logs.Count("segment_quarantined") == 0; ix++ {
+		require.Less(t, ix, 40, "no finding")
+		askGuilty(ix)
+		time.Sleep(restartTime)
+		cp.ask(commonSegment, "b2:200")
+	}
+	time.Sleep(restartTime)
+	crashes := cp.crashes.Load()
+	const sound = 20
+	atFirst := 0
+	for ix := range sound {
+		require.Equal(t, http.StatusServiceUnavailable, askGuilty(ix).status)
+		require.Equal(t, http.StatusOK, cp.ask(commonSegment, "b2:200").status)
+		if answered := cp.logs.RequestEvents(fmt.Sprint("r-", cp.requests))["answered"]; answered["attempts"] == 1.0 {
+			atFirst++
+		}
+	}
+	require.Equal(t, sound, atFirst)
+	require.Equal(t, crashes, cp.crashes.Load())
+}
--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -341,3 +341,38 @@
 		require.NotEqual(t, http.StatusOK, fx.post(nonIdempotentPath, "r-1", "order").status)
 	})
 }
+
+// TestAnswerThatEndsWithItsConnectionIsRelayed guards against sound answers that are taken
+// to be cut because they have neither a length nor chunks.
+func TestAnswerThatEndsWithItsConnectionIsRelayed(t *testing.T) {
+	for name, body := range map[string]string{"short": "quote 7", "empty": "", "longer than is buffered": strings.Repeat("x", 300<<10)} {
+		t.Run(name, func(t *testing.T) {
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\n\r\n%s", rq.ID, platform.HeaderSignature, body)
+				return false
+			}
+			fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+			for _, id := range []string{"r-1", "r-2"} {
+				got := fx.post(nonIdempotentPath, id, "order")
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, body, got.body)
+			}
+		})
+	}
+}
+
+// TestLongAnswerCutWithItsConnectionIsNotComplete guards against an answer whose beginning
+// has been relayed and that looks complete to the caller although its server reset the
+// connection.
+func TestLongAnswerCutWithItsConnectionIsNotComplete(t *testing.T) {
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\n\r\n%s", rq.ID, platform.HeaderSignature, strings.Repeat("x", 300<<10))
+		time.Sleep(50 * time.Millisecond) // a reset drops what the host hasn't read
+		co.Reset()
+		return false
+	}
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+	got := fx.post(nonIdempotentPath, "r-1", "order")
+	require.True(t, got.err != nil || got.status != http.StatusOK)
+}
