engine, schedule: an engine that asks for a pause gets no requests in it

On the own API an engine's 503 with Retry-After was a failure like any other: the next requests went there at once, and after three of them for as long as the ejection lasts, whatever the engine had asked; callers were refused with 2 s.

Cause: the header wasn't read, and an outcome had no place for it.

The outcome of an attempt now carries the pause. In it the engine gets no request, not even for want of another one, and a caller that can't wait so long is told when the first engine is back. A pause is cut to five minutes: on the own API a host doesn't hear of the restart that would end it.

With the pause not recorded, TestEngineThatWantsAPauseGetsNoRequests: expected: "e0", actual: "e1".

--- a/caller/completion_request.go
+++ b/caller/completion_request.go
@@ -113,12 +113,12 @@
 		}
 		cr.mayHaveRun = cr.mayHaveRun || !failure.NotRun()
 		if !cr.canRetry() || !cr.server.retrier.allow(at, cr.delivered > cr.deliveredBefore) {
-			cr.lease.Release(cr.attemptOutcome(true))
+			cr.lease.Release(cr.failedOutcome(failure))
 			return cr.finalError(err)
 		}
 		cr.recorder.RecordResumed(cr.recomputedTokens())
 		cr.server.retrier.backOff(ctx, cr.server, at)
-		outcome := cr.attemptOutcome(true)
+		outcome := cr.failedOutcome(failure)
 		outcome.Unreachable = failure.Unreachable()
 		if err := cr.lease.Reassign(outcome); err != nil {
 			return cr.finalError(err)
@@ -216,6 +216,13 @@
 	return out
 }
 
+// failedOutcome describes the current attempt, which failed, to the scheduler.
+func (cr *completionRequest) failedOutcome(failure *engine.Failure) mp.Outcome {
+	out := cr.attemptOutcome(true)
+	out.Pause = failure.RetryAfter
+	return out
+}
+
 // retrier shares one retry budget between all requests.
 type retrier struct {
 	mu     sync.Mutex
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -130,6 +130,24 @@
 	require.Zero(t, startedRequests(de))
 }
 
+func TestEnginesThatWantAPauseGetNoRequests(t *testing.T) {
+	de := testkit.StartDeployment(t)
+	for _, en := range de.Engines {
+		en.SetFault(fakeengine.FaultPause, 0)
+	}
+	refused := func() bool {
+		re := testkit.Post(t, de.Host.CallerAddress(), testkit.ChatPath, testkit.ChatBody(quickstart.ModelSmall, "x", false, "3"))
+		after, err := strconv.ParseFloat(re.Header.Get("Retry-After"), 64)
+		return err == nil && re.Code() == mp.KindNoBackend.String() && re.NotRun() && after > 60
+	}
+	testkit.Eventually(t, refused, "the caller isn't told of the pause")
+	for _, en := range de.Engines {
+		en.SetFault(fakeengine.FaultNone, 0)
+	}
+	require.True(t, refused())
+	require.Zero(t, startedRequests(de))
+}
+
 func TestCrashedEnginesDoNotReportNotRun(t *testing.T) {
 	de := testkit.StartDeployment(t)
 	for _, en := range de.Engines {
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,7 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/retry"
 )
 
 const (
@@ -286,7 +287,11 @@
 
 func newRefusal(response *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, int64(maxErrorBodyBytes)))
-	return &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text}
+	fa := &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text}
+	if fa.Status == http.StatusServiceUnavailable {
+		fa.RetryAfter = retry.ParseAfter(response.Header["Retry-After"])
+	}
+	return fa
 }
 
 // idleTimeoutReader runs the idle timer only while a read waits for the engine,
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -36,6 +37,9 @@
 	// Status and Body are the engine's response, set at StageRefused only.
 	Status int
 	Body   []byte
+	// RetryAfter is how long an engine that is unavailable (status 503) wants no requests;
+	// zero if it doesn't say.
+	RetryAfter time.Duration
 	// IdleTimedOut reports that the engine sent no data within the idle timeout.
 	IdleTimedOut bool
 	// FirstEventTimedOut reports that the first event did not arrive in time.
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -132,3 +133,17 @@
 		}
 	})
 }
+
+func TestRetryAfterOfUnavailableEngine(t *testing.T) {
+	for status, want := range map[int]time.Duration{http.StatusServiceUnavailable: 1500 * time.Millisecond, http.StatusTooManyRequests: 0} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Retry-After", "1.5")
+			rw.WriteHeader(status)
+		}))
+		t.Cleanup(server.Close)
+		_, err := runRequest(t, strings.TrimPrefix(server.URL, "http://"), 0)
+		failure, ok := errors.AsType[*engine.Failure](err)
+		require.True(t, ok)
+		require.Equal(t, want, failure.RetryAfter)
+	}
+}
--- a/fakeengine/completion.go
+++ b/fakeengine/completion.go
@@ -123,7 +123,10 @@
 func (en *Engine) admit(rw http.ResponseWriter, cm *completion) (*stream, bool) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	if en.fault == FaultUnavailable {
+	if en.fault == FaultPause {
+		rw.Header().Set("Retry-After", "3600")
+	}
+	if en.fault == FaultUnavailable || en.fault == FaultPause {
 		writeError(rw, http.StatusServiceUnavailable, "the engine is not ready")
 		return nil, false
 	}
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -23,6 +23,9 @@
 	FaultNone Fault = iota
 	// FaultUnavailable responds to every new request with status 503.
 	FaultUnavailable
+	// FaultPause responds to every new request with status 503 and asks for a pause of an
+	// hour.
+	FaultPause
 	// FaultHang keeps connections open but sends nothing more.
 	FaultHang
 	// FaultTruncate ends each stream early without an error.
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -116,7 +116,7 @@
 	withCapacity eligibility = iota
 	// atAnyOccupancy: engines that are not avoided.
 	atAnyOccupancy
-	// evenAvoided: all engines.
+	// evenAvoided: all engines that are not in a pause.
 	evenAvoided
 )
 
@@ -172,7 +172,7 @@
 		if en.Draining || en.ID == exclude || (en.Distance == OtherRegion) != remote {
 			continue
 		}
-		if eligible != evenAvoided && en.isAvoided(now) {
+		if en.isPaused(now) || (eligible != evenAvoided && en.isAvoided(now)) {
 			continue
 		}
 		occupancy := en.occupancy(now, sc.hosts)
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -59,6 +59,9 @@
 	maxBackoffDoublings   = 10 // of minUnreachableBackoff; keeps the shift from overflowing
 
 	maxEjectionDuration = time.Minute
+	// maxPause bounds the pause that an engine asks for: the host doesn't hear of a
+	// restart that ends it.
+	maxPause = 5 * time.Minute
 
 	limitDecreaseFactor    = 0.95
 	limitDecreaseInterval  = 500 * time.Millisecond // minimum time between two decreases
@@ -85,6 +88,7 @@
 	consecutiveFailures int
 	ejectionDuration    time.Duration // length of the last ejection; zero after a successful attempt
 	avoidUntil          time.Time
+	pausedUntil         time.Time // the engine wants no requests before
 	// consecutiveUnreachable counts consecutive attempts that could not reach the engine.
 	consecutiveUnreachable int
 }
@@ -141,10 +145,23 @@
 	en.loadReportedAt = now
 }
 
-// isAvoided reports whether the engine is ejected or backed off, and so gets no new
-// requests.
+// isAvoided reports whether the engine is ejected, backed off or in a pause, and so gets no
+// new requests.
 func (en *engine) isAvoided(now time.Time) bool {
-	return now.Before(en.avoidUntil)
+	return now.Before(en.avoidUntil) || en.isPaused(now)
+}
+
+// isPaused reports whether the engine wants no requests. Unlike one that is avoided for
+// its failures, it isn't tried for want of another either.
+func (en *engine) isPaused(now time.Time) bool {
+	return now.Before(en.pausedUntil)
+}
+
+// pause keeps requests away from an engine for the time that it asked for.
+func (en *engine) pause(now time.Time, pause time.Duration) {
+	if until := now.Add(min(pause, maxPause)); until.After(en.pausedUntil) {
+		en.pausedUntil = until
+	}
 }
 
 // decayedExcessLatency returns the excess latency, halved for each half-life since
@@ -162,6 +179,9 @@
 
 // recordOutcome updates the engine's state with the outcome of an attempt.
 func (en *engine) recordOutcome(now time.Time, jo *job, outcome mp.Outcome) {
+	if outcome.Pause > 0 {
+		en.pause(now, outcome.Pause)
+	}
 	if outcome.Unreachable {
 		en.backOff(now)
 		return
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -225,7 +225,7 @@
 // the queue is full.
 func (sc *Scheduler) enqueue(now time.Time, mg *modelGroup, rq mp.Request, fl *flow, cost mp.Tokens, promised bool) mp.Decision {
 	if !mg.hasAvailableEngine(now.Add(rq.MaxWait)) {
-		return refuse(mp.KindNoBackend, minEjectionDuration)
+		return refuse(mp.KindNoBackend, max(minEjectionDuration, mg.pauseLeft(now)))
 	}
 	expected := mg.expectedWait(now, rq.Tier, promised, sc.hosts)
 	if expected > rq.MaxWait || mg.queue.Len() >= maxQueueDepth {
@@ -250,6 +250,23 @@
 	return slices.ContainsFunc(mg.engines, func(en *engine) bool { return !en.Draining && !en.isAvoided(at) })
 }
 
+// pauseLeft returns the time until the first engine wants requests again; zero unless all
+// that are not draining are in a pause.
+func (mg *modelGroup) pauseLeft(now time.Time) time.Duration {
+	var shortest time.Duration
+	for _, en := range mg.engines {
+		left := en.pausedUntil.Sub(now)
+		switch {
+		case en.Draining:
+		case left <= 0:
+			return 0
+		case shortest == 0 || left < shortest:
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 func refuse(reason mp.Kind, after time.Duration) mp.Decision {
 	return mp.Decision{Action: mp.ActionRefuse, Reason: reason, RetryAfter: max(after, minRetryAfter)}
 }
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -389,3 +389,23 @@
 		})
 	}
 }
+
+func TestEngineThatWantsAPauseGetsNoRequests(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(2, 4))
+	paused := sc.Submit(epoch, request(1, 2)).Engine
+	other := sc.Reassign(epoch, "r1", mp.Outcome{Failed: true, Pause: 10 * time.Second})
+	require.NotEqual(t, paused, other.Engine)
+	for number := 2; number < 5; number++ {
+		require.Equal(t, other.Engine, sc.Submit(epoch.Add(time.Second), request(number, 2)).Engine)
+	}
+	again := sc.Reassign(epoch.Add(time.Second), "r1", mp.Outcome{Failed: true, Unreachable: true})
+	require.NotEqual(t, paused, again.Engine, "nor for want of another")
+	sc.Done(epoch.Add(time.Second), "r2", mp.Outcome{Failed: true, Pause: time.Hour})
+	urgent := request(6, 2)
+	urgent.MaxWait = 5 * time.Second
+	refused := sc.Submit(epoch.Add(time.Second), urgent)
+	require.Equal(t, mp.ActionRefuse, refused.Action)
+	require.Equal(t, 9*time.Second, refused.RetryAfter)
+	require.Equal(t, paused, sc.Submit(epoch.Add(10*time.Second), request(7, 2)).Engine)
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -80,6 +80,9 @@
 	Failed bool
 	// Unreachable reports that no connection to the engine could be made.
 	Unreachable bool
+	// Pause is how long the engine wants no requests from this host; zero if it doesn't
+	// say.
+	Pause time.Duration
 }
 
 // Assignment is a queued request that may now run on an engine.
