--- a/engine/client.go
+++ b/engine/client.go
@@ -21,6 +21,7 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/retry"
 )
 
 const (
@@ -299,7 +300,11 @@
 
 func newRefusal(response *http.Response, unconfirmed bool) error {
 	text, _ := io.ReadAll(io.LimitReader(response.Body, int64(maxErrorBodyBytes)))
-	return &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text, Unconfirmed: unconfirmed}
+	fa := &Failure{Stage: StageRefused, Status: response.StatusCode, Body: text, Unconfirmed: unconfirmed}
+	if fa.Status == http.StatusServiceUnavailable {
+		fa.RetryAfter = retry.ParseAfter(response.Header["Retry-After"])
+	}
+	return fa
 }
 
 // idleTimeoutReader runs the idle timer only while a read waits for the engine,
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -39,6 +40,9 @@
 	// Unconfirmed reports that the response came on a connection with earlier requests
 	// and without the request's ID, so that it may be one to them, written once more.
 	Unconfirmed bool
+	// RetryAfter is how long an engine that is unavailable (status 503) wants no requests;
+	// zero if it doesn't say.
+	RetryAfter time.Duration
 	// IdleTimedOut reports that the engine sent no data within the idle timeout.
 	IdleTimedOut bool
 	// FirstEventTimedOut reports that the first event did not arrive in time.
