gateway: a take-over cuts no other request on a connection that was given back

Cause: a silent server may reject its request late, while another one has been asked. Its connection then goes back to the pool, and another request may use it. When the other server's answer began, the hedge closed "the connection of the silent attempt", which by then belonged to that other request.

Fix: before the connection is given back the caller's goroutine takes the hedge, as it does elsewhere, and a hedge that is held closes nothing and looks at no socket.

TestSoundServersThatFallSilentAnswerEveryStream is new too: 40 streams of servers that pause around the idle timeout, so that servers go on at the moment in which others take over.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -283,6 +283,9 @@
 		return result{outcome: placement.Misdirected, err: errors.Errorf("another server has address %s", ch.Server.Address)}
 	case headers.NotExecuted:
 		_, _ = io.Copy(io.Discard, io.LimitReader(ex.Response.Body, maxBufferedBytes))
+		if !re.hedge.acquire() {
+			return takenOver()
+		}
 		ex.Finish(headers.IdleTimeout)
 		return result{outcome: placement.Rejected, err: errors.Errorf("the server did not run the request (status %d)", status)}
 	case !headers.Signed:
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -69,11 +69,14 @@
 	re    *request
 	at    *attempt
 	timer clockwork.Timer
-	// held reports that the caller's goroutine has acquired the hedge, closed that it
-	// has ended it; only that goroutine uses them.
-	held, closed bool
+	// closed reports that the caller's goroutine has ended the hedge; only that goroutine
+	// uses it.
+	closed bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// held reports that the caller's goroutine has acquired the hedge; the connection may
+	// be in other hands by now. Only that goroutine sets it.
+	held    bool
 	changed *sync.Cond // of contest
 	contest hedging.Contest[*attempt]
 	// silenceRecorded reports that the placer knows of the silence.
@@ -181,7 +184,7 @@
 	case wait > 0:
 		he.setTimer(wait)
 		return
-	case he.at.conn.HasUnread():
+	case !he.held && he.at.conn.HasUnread():
 		he.re.log(he.ga.logger.Info(), "host_late").Str("server", string(he.at.choice.Server.ID)).
 			Dur("late_ms", silence).Msg("the server isn't silent, its bytes weren't read yet")
 		he.setTimer(unreadRecheck)
@@ -275,7 +278,9 @@
 	switch verdict {
 	case hedging.TookOver:
 		he.giveUp(others)
-		he.at.conn.Interrupt()
+		if !he.held {
+			he.at.conn.Interrupt()
+		}
 		return nil
 	case hedging.GivenUp:
 		ga.endAttempt(ctx, re, at, result{outcome: placement.Cancelled, mayHaveRun: true, err: errNoNeed})
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+	"github.com/mangopaddle/mangopaddle/platform/fakestore"
 )
 
 // soundSilence is how long a sound server is silent in the middle of its answer. It is longer
@@ -192,3 +198,84 @@
 		})
 	}
 }
+
+// streamNumber returns the number in the identifier of a request.
+func streamNumber(rq fakeserver.Request) uint64 {
+	number, _ := strconv.ParseUint(strings.TrimPrefix(rq.ID, "r-"), 10, 64) // the test writes it
+	return number
+}
+
+// TestSoundServersThatFallSilentAnswerEveryStream guards against events that are lost, come
+// twice or end early when servers fall silent at the moment in which others take over.
+func TestSoundServersThatFallSilentAnswerEveryStream(t *testing.T) {
+	const streams, events = 40, 4
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		random := rand.New(rand.NewPCG(uint64(rq.LastEventID()), streamNumber(rq)))
+		co.BeginStream(rq)
+		for id := rq.LastEventID() + 1; id <= events; id++ {
+			if random.IntN(3) == 0 {
+				time.Sleep(time.Duration(580+random.IntN(80)) * time.Millisecond) // around the idle timeout
+			}
+			co.WriteEvent(id)
+		}
+		co.EndStream()
+		return true
+	}
+	servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler), startServer(t, handler)}
+	fx := newFixture(t, nil, servers)
+	fx.setResumableRoute("gap_aim_ms", 50)
+	var want strings.Builder
+	for id := 1; id <= events; id++ {
+		fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	got := make([]clientResponse, streams)
+	var group sync.WaitGroup
+	for ix := range streams {
+		group.Go(func() { got[ix] = fx.post(resumablePath, fmt.Sprint("r-", ix), "prompt") })
+	}
+	group.Wait()
+	for ix := range streams {
+		require.NoError(t, got[ix].err, "stream %d", ix)
+		require.Equal(t, want.String(), got[ix].body, "stream %d", ix)
+	}
+	require.LessOrEqual(t, requestCount(servers...), streams*fakestore.MaxAttempts)
+	require.Positive(t, fx.logs.Count("server_silent"))
+}
+
+// TestTakeOverLeavesOtherRequestsAlone guards against a request that is cut because another
+// one used its connection before, was rejected there late and was then taken over.
+func TestTakeOverLeavesOtherRequestsAlone(t *testing.T) {
+	asked, inUse, answered := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	var calls atomic.Int64
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		switch {
+		case rq.ID == "r-2":
+			close(inUse)
+			<-answered
+			co.Respond(rq, http.StatusOK, "own r-2")
+		case calls.Add(1) == 1:
+			<-asked
+			co.Reject(rq)
+		default:
+			close(asked)
+			<-inUse
+			co.Respond(rq, http.StatusOK, "own r-1")
+		}
+		return true
+	}
+	servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler)}
+	fx := newFixture(t, servers, nil)
+	first, second := make(chan clientResponse, 1), make(chan clientResponse, 1)
+	go func() { first <- fx.get("r-1") }()
+	<-asked
+	for ix, se := range servers {
+		if se.Requests()[0].Header.Get(platform.HeaderExpectInstance) != fx.logs.RequestEvents("r-1")["server_silent"]["server"] {
+			fx.putServer(fmt.Sprint("app-", ix), "app", se.Address(), "draining")
+		}
+	}
+	fx.eventually(func() bool { return fx.gateway.AvailableServerCount("app") == 1 })
+	go func() { second <- fx.post(nonIdempotentPath, "r-2", "order") }()
+	require.Equal(t, "own r-1", (<-first).body)
+	close(answered)
+	require.Equal(t, "own r-2", (<-second).body)
+}
