soak: silent servers, changes and reloads in series, answers without length

New faults: all servers of a service, or one, are silent for up to 1.3 s and go on; a server sends complete answers without length and chunks, or ends a stream inside an event; series of changes of targets, limits and routes; reloads with and without SIGHUP; planned work, which is stops, reloads and changes at once. Every second caller keeps to its open connection until the host closes it. With many hosts, faults come faster.

New checks: an answer that begins is complete unless a fault of the host or of a server that received it explains that (before, streams that broke off were not counted as lost); a request that a stopping host sent to a server is answered also after the first 2.5 s; an added route is served, and a removed one isn't, within the delay of a change.

Streams last 2 s in place of 0.6 s, the retry slack is 16 in place of 60 and the targets are shorter, so that silence meets what depends on them. The probes at the end run side by side, as they would take half a minute otherwise. All checks are as strict as before or stricter.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -10,7 +10,9 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,6 +39,7 @@
 	set.DurationVar(&op.plan.FaultDuration, "lasts", 15*time.Second, "how long faults are injected with each seed")
 	set.IntVar(&op.plan.Hosts, "hosts", 3, "number of gateway hosts")
 	set.IntVar(&op.plan.Callers, "callers", 24, "number of callers, each with one request at a time")
+	set.Func("kind", "inject only faults of this kind; may be repeated: "+strings.Join(soak.Kinds(), ", "), op.addKind)
 	set.StringVar(&op.binary, "binary", "", "program under test; built from ./cmd/mangopaddle if empty")
 	set.StringVar(&op.logDirectory, "logs", "", "directory for the hosts' logs; they are discarded if empty")
 	command := &ffcli.Command{
@@ -52,6 +55,15 @@
 	}
 }
 
+// addKind adds a kind of fault to inject. It returns an error if there is no such kind.
+func (op *options) addKind(kind string) error {
+	if !slices.Contains(soak.Kinds(), kind) {
+		return errors.NotFoundf("kind of fault %q", kind)
+	}
+	op.plan.Kinds = append(op.plan.Kinds, kind)
+	return nil
+}
+
 // run runs the seeds in order and returns an error if any of them found a
 // violation.
 func (op *options) run(ctx context.Context) error {
--- a/soak/backends.go
+++ b/soak/backends.go
@@ -16,26 +16,26 @@
 const (
 	// eventsPerStream is the number of events in a complete stream.
 	eventsPerStream = 20
-	eventInterval   = 30 * time.Millisecond
+	eventInterval   = 100 * time.Millisecond
 	responseDelay   = 20 * time.Millisecond
 )
 
-// requestCounts counts, by request ID, how often backend servers received and
-// executed a request.
+// requestCounts records, by request ID, which backend servers received a request, one
+// entry for each time, and how often it was executed.
 type requestCounts struct {
-	mu       sync.Mutex
-	received map[string]int
-	executed map[string]int
+	mu        sync.Mutex
+	receivers map[string][]*backend
+	executed  map[string]int
 }
 
 func newRequestCounts() *requestCounts {
-	return &requestCounts{received: map[string]int{}, executed: map[string]int{}}
+	return &requestCounts{receivers: map[string][]*backend{}, executed: map[string]int{}}
 }
 
-func (rc *requestCounts) record(id string, executed bool) {
+func (rc *requestCounts) record(id string, receiver *backend, executed bool) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.received[id]++
+	rc.receivers[id] = append(rc.receivers[id], receiver)
 	if executed {
 		rc.executed[id]++
 	}
@@ -45,7 +45,14 @@
 func (rc *requestCounts) lookup(id string) (received, executed int) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	return rc.received[id], rc.executed[id]
+	return len(rc.receivers[id]), rc.executed[id]
+}
+
+// receiversOf returns the backend servers that received a request.
+func (rc *requestCounts) receiversOf(id string) []*backend {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.receivers[id]
 }
 
 // totals returns the number of requests that backend servers received, and the number
@@ -53,22 +60,28 @@
 func (rc *requestCounts) totals() (requests, retries int) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	for _, count := range rc.received {
-		retries += count - 1
+	for _, receivers := range rc.receivers {
+		retries += len(receivers) - 1
 	}
-	return len(rc.received), retries
+	return len(rc.receivers), retries
 }
 
 // failureMode is how a backend server fails.
 type failureMode int
 
 const (
-	healthy         failureMode = iota
-	returningErrors             // responds with status 500 after executing the request
-	rejecting                   // responds that the request was not executed
-	truncating                  // closes the connection in the middle of the response
+	healthy           failureMode = iota
+	returningErrors               // responds with status 500 after executing the request
+	rejecting                     // responds that the request was not executed
+	truncating                    // closes the connection in the middle of the response
+	endingInsideEvent             // ends streams regularly in the middle of an event
+	unframed                      // sends complete responses without length or chunks
 )
 
+// breaksResponses reports whether a server in this mode may break off a response that it
+// has begun.
+func (fm failureMode) breaksResponses() bool { return fm == truncating || fm == endingInsideEvent }
+
 // backend is a fake backend server behind a proxy.
 type backend struct {
 	id            string
@@ -122,7 +135,7 @@
 
 func (ba *backend) respond(co *fakeserver.Conn, rq fakeserver.Request) bool {
 	mode := ba.currentFailureMode()
-	ba.requestCounts.record(rq.ID, mode != rejecting)
+	ba.requestCounts.record(rq.ID, ba, mode != rejecting)
 	time.Sleep(responseDelay)
 	switch mode {
 	case rejecting:
@@ -132,6 +145,10 @@
 	case truncating:
 		co.Printf("HTTP/1.1 200 OK\r\nContent-Le")
 		return false
+	case unframed:
+		co.BeginUnframed(rq)
+		co.Printf("%s", responseBody(rq.ID))
+		return false
 	default:
 		co.Respond(rq, http.StatusOK, responseBody(rq.ID))
 	}
@@ -140,7 +157,7 @@
 
 func (ba *backend) stream(co *fakeserver.Conn, rq fakeserver.Request) bool {
 	mode := ba.currentFailureMode()
-	ba.requestCounts.record(rq.ID, mode != rejecting)
+	ba.requestCounts.record(rq.ID, ba, mode != rejecting)
 	switch mode {
 	case rejecting:
 		co.Reject(rq)
@@ -149,12 +166,26 @@
 		co.Respond(rq, http.StatusInternalServerError, "failed")
 		return true
 	}
+	if mode == unframed {
+		co.BeginUnframed(rq)
+		for event := rq.LastEventID() + 1; event <= eventsPerStream; event++ {
+			time.Sleep(eventInterval)
+			co.Printf("%s", eventText(event))
+		}
+		return false
+	}
 	co.BeginStream(rq)
 	for event := rq.LastEventID() + 1; event <= eventsPerStream; event++ {
 		time.Sleep(eventInterval)
-		if mode == truncating && rand.IntN(eventsPerStream) == 0 {
+		switch {
+		case mode == truncating && rand.IntN(eventsPerStream) == 0:
 			co.Printf("1f\r\nid: ")
 			return false
+		case mode == endingInsideEvent && rand.IntN(eventsPerStream) == 0:
+			text := eventText(event)
+			co.WriteChunk(text[:len(text)/2])
+			co.EndStream()
+			return true
 		}
 		co.WriteEvent(event)
 	}
@@ -162,11 +193,14 @@
 	return true
 }
 
+// eventText is the text of one event of a stream.
+func eventText(event int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event) }
+
 // streamBody is the body of a stream up to and including the last event given.
 func streamBody(last int) string {
 	text := ""
 	for event := 1; event <= last; event++ {
-		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", event, event)
+		text += eventText(event)
 	}
 	return text
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -17,7 +17,10 @@
 const (
 	callerTimeout = 6 * time.Second
 	// thinkTime is the pause between two requests of a caller.
-	thinkTime             = 25 * time.Millisecond
+	thinkTime = 25 * time.Millisecond
+	// requestsPerHost is the number of requests after which a caller that keeps to its
+	// connection chooses another host.
+	requestsPerHost       = 20
 	readinessPollInterval = 300 * time.Millisecond
 )
 
@@ -31,6 +34,7 @@
 	status     int // zero without a response
 	signed     bool
 	body       string
+	closes     bool  // the response announced that the host closes the connection
 	err        error // error before or during the response
 }
 
@@ -51,7 +55,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	if len(cs.ready) == 0 {
-		return nil, ""
+		return nil, cs.apiKey
 	}
 	return cs.ready[random.IntN(len(cs.ready))], cs.apiKey
 }
@@ -62,6 +66,12 @@
 	cs.apiKey = apiKey
 }
 
+func (cs *callerState) currentAPIKey() string {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.apiKey
+}
+
 func (cs *callerState) record(ou outcome) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
@@ -92,13 +102,18 @@
 	}
 }
 
-// runCaller sends requests one after another until the context ends.
-// Connections are kept open between them.
+// runCaller sends requests one after another until the context ends. Connections are kept
+// open between them. Every second caller uses an open connection until the host closes it,
+// also if the host is not ready any more.
 func (cs *callerState) runCaller(ctx context.Context, caller int, random *rand.Rand) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
+	var last outcome
 	for number := 0; ctx.Err() == nil; number++ {
 		ho, apiKey := cs.pickHost(random)
+		if caller%2 == 0 && last.host != nil && last.err == nil && !last.closes && number%requestsPerHost > 0 {
+			ho = last.host
+		}
 		if ho == nil {
 			sleep(ctx, readinessPollInterval)
 			continue
@@ -106,7 +121,8 @@
 		// The non-idempotent path is twice as likely as each of the others.
 		paths := []string{fakestore.IdempotentPath, fakestore.NonIdempotentPath, fakestore.NonIdempotentPath, fakestore.ResumableStreamPath, fakestore.NonResumableStreamPath}
 		ou := outcome{id: fmt.Sprintf("c%d-%d", caller, number), path: paths[random.IntN(len(paths))], apiKey: apiKey, host: ho}
-		cs.record(sendRequest(transport, ou))
+		last = sendRequest(transport, ou)
+		cs.record(last)
 		sleep(ctx, thinkTime)
 	}
 }
@@ -131,7 +147,8 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	ou.status, ou.signed, ou.body, ou.err, ou.end = response.StatusCode, fakecaller.Signed(response.Header), string(body), err, time.Now()
+	ou.status, ou.signed, ou.body, ou.closes = response.StatusCode, fakecaller.Signed(response.Header), string(body), response.Close
+	ou.err, ou.end = err, time.Now()
 	return ou
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,7 @@
 		fi.checkExecutions(ou)
 		fi.checkResponse(ou)
 		fi.checkLostRequest(ou)
+		fi.checkBrokenResponse(ou)
 	}
 	requests, retries := fi.deployment.requestCounts.totals()
 	if allowed := retryRatio*float64(requests) + retrySlack; float64(retries) > allowed {
@@ -103,8 +105,41 @@
 		if !fa.affectsHost || fa.host != ou.host || !fa.overlaps(ou.begin.Add(-faultMargin), ou.end.Add(faultMargin)) {
 			continue
 		}
-		// A stopping host must respond to every request that it accepts.
-		if fa.kind != "stop" || ou.begin.After(fa.begin.Add(minDrainAcceptPeriod)) {
+		if fa.kind != faultStop || fi.isExcusedByStop(ou, fa) {
+			return true
+		}
+	}
+	return false
+}
+
+// isExcusedByStop reports whether a stop of its host explains that a request got no
+// response. A stopping host must respond to every request that it accepts first, and later
+// to every request that it sends to a backend server, unless its time runs out.
+func (fi *faultInjector) isExcusedByStop(ou outcome, stop fault) bool {
+	if !ou.begin.After(stop.begin.Add(minDrainAcceptPeriod)) {
+		return false
+	}
+	received, _ := fi.deployment.requestCounts.lookup(ou.id)
+	return received == 0 || ou.end.After(stop.begin.Add(stopTimeout-maxSilence))
+}
+
+// checkBrokenResponse reports an incomplete response although no fault affected its host,
+// and none broke off a response of the backend servers that received the request.
+func (fi *faultInjector) checkBrokenResponse(ou outcome) {
+	if ou.status == 0 || ou.err == nil || fi.isExcused(ou) || fi.brokenByBackend(ou) {
+		return
+	}
+	fi.reportViolation("request %s to %s at host %s got an incomplete response after %v: status %d, %d bytes, %v",
+		ou.id, ou.path, ou.host.name, ou.end.Sub(ou.begin), ou.status, len(ou.body), ou.err)
+}
+
+// brokenByBackend reports whether a backend server that received the request may have
+// broken off its response.
+func (fi *faultInjector) brokenByBackend(ou outcome) bool {
+	receivers := fi.deployment.requestCounts.receiversOf(ou.id)
+	for _, fa := range fi.faults {
+		if fa.breaksResponsesOf != nil && slices.Contains(receivers, fa.breaksResponsesOf) &&
+			fa.overlaps(ou.begin.Add(-faultMargin), ou.end.Add(faultMargin)) {
 			return true
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,8 +23,11 @@
 	affectsHost bool
 	// disruptsStore marks a fault during which hosts may miss changes in the store.
 	disruptsStore bool
-	begin         time.Time
-	end           time.Time // zero while the fault is active
+	// breaksResponsesOf is the backend server whose responses the fault may break off;
+	// nil for none.
+	breaksResponsesOf *backend
+	begin             time.Time
+	end               time.Time // zero while the fault is active
 }
 
 // overlaps reports whether the fault was active at any time between begin and
@@ -37,19 +40,26 @@
 // that the checks find.
 type faultInjector struct {
 	deployment *deployment
+	kinds      []string // the kinds of faults to inject
 
 	mu              sync.Mutex
 	faults          []fault
 	violations      []string
+	config          operatorConfig
 	configVersion   int
+	addedRoutes     int
 	apiKeyNumber    int // of the key that callers use
 	replacedServers int
 	processLocks    map[*host]*sync.Mutex // held while a fault stops or pauses the process
 	rotationMu      sync.Mutex
+	silenceMu       sync.Mutex // held while servers are silent, and until they have caught up
 }
 
-func newFaultInjector(de *deployment) *faultInjector {
-	fi := &faultInjector{deployment: de, configVersion: 1, processLocks: map[*host]*sync.Mutex{}}
+func newFaultInjector(de *deployment, kinds []string) *faultInjector {
+	if len(kinds) == 0 {
+		kinds = Kinds()
+	}
+	fi := &faultInjector{deployment: de, kinds: kinds, config: initialConfig(), configVersion: 1, processLocks: map[*host]*sync.Mutex{}}
 	for _, ho := range de.hosts {
 		fi.processLocks[ho] = &sync.Mutex{}
 	}
@@ -81,14 +91,18 @@
 	startupTimeout   = 4 * time.Second
 	minFaultInterval = 700 * time.Millisecond
 	maxFaultInterval = 1800 * time.Millisecond
+	// hostsPerFault is the number of hosts for which faults come at these intervals;
+	// with more hosts they come more often.
+	hostsPerFault = 10
 )
 
 // run injects random faults until the context ends, and returns when all of
 // them are over.
 func (fi *faultInjector) run(ctx context.Context, random *rand.Rand) {
 	var group sync.WaitGroup
+	rate := time.Duration(max(1, len(fi.deployment.hosts)/hostsPerFault))
 	for {
-		sleep(ctx, randomDuration(random, minFaultInterval, maxFaultInterval))
+		sleep(ctx, randomDuration(random, minFaultInterval, maxFaultInterval)/rate)
 		if ctx.Err() != nil {
 			break
 		}
@@ -102,44 +116,87 @@
 	return shortest + time.Duration(random.Int64N(int64(longest-shortest)))
 }
 
+// Kinds of faults.
+const (
+	faultKill          = "kill"
+	faultStop          = "stop"
+	faultPause         = "pause"
+	faultFront         = "front"
+	faultStoreOfHost   = "store of a host"
+	faultStoreDown     = "store down"
+	faultBackendLink   = "backend link"
+	faultBackend       = "backend misbehaves"
+	faultReplacement   = "backend replaced"
+	faultDroppedConns  = "idle connections dropped"
+	faultKeyRevoked    = "key revoked"
+	faultSilence       = "backend silent"
+	faultSilentService = "service silent"
+	faultConfiguration = "configuration changed"
+	faultPlannedWork   = "planned work"
+	faultReload        = "reload"
+)
+
+// stopSignals are the signals by which a fault stops a host.
+var stopSignals = map[string]syscall.Signal{faultKill: syscall.SIGKILL, faultStop: syscall.SIGTERM}
+
+// Kinds returns the kinds of faults.
+func Kinds() []string {
+	return []string{
+		faultKill, faultStop, faultPause, faultFront, faultStoreOfHost, faultStoreDown, faultBackendLink, faultBackend, faultReplacement,
+		faultDroppedConns, faultKeyRevoked, faultSilence, faultSilentService, faultConfiguration, faultPlannedWork, faultReload,
+	}
+}
+
 // nextFault chooses the next fault and returns a function that injects it. All
 // choices are made here, so that they depend only on the seed.
 func (fi *faultInjector) nextFault(random *rand.Rand) func() {
-	ho := fi.deployment.hosts[random.IntN(len(fi.deployment.hosts))]
-	ba := fi.deployment.backends[random.IntN(len(fi.deployment.backends))]
+	ho, ba := pick(random, fi.deployment.hosts), pick(random, fi.deployment.backends)
 	duration := randomDuration(random, 300*time.Millisecond, 3*time.Second)
-	proxyMode := []ProxyMode{Slow, Blackhole, ClientToServerOnly, Resetting}[random.IntN(4)]
-	backendFailure := []failureMode{returningErrors, rejecting, truncating}[random.IntN(3)]
-	switch random.IntN(11) {
-	case 0:
-		return func() { fi.restart(ho, "kill", syscall.SIGKILL, duration/3) }
-	case 1:
-		return func() { fi.restart(ho, "stop", syscall.SIGTERM, duration/3) }
-	case 2:
+	proxyMode := pick(random, []ProxyMode{Slow, Blackhole, ClientToServerOnly, Resetting})
+	backendFailure := pick(random, []failureMode{returningErrors, rejecting, truncating, endingInsideEvent, unframed})
+	silence := randomDuration(random, minSilence, maxSilence)
+	signalled := random.IntN(2) == 0
+	steps := drawConfigSeries(random)
+	switch kind := pick(random, fi.kinds); kind {
+	case faultKill, faultStop:
+		return func() { fi.restart(ho, kind, stopSignals[kind], duration/3) }
+	case faultPause:
 		return func() { fi.pause(ho, duration) }
-	case 3:
-		return func() {
-			fi.setMode(fault{kind: "front", host: ho, affectsHost: true}, ho.callerProxy, proxyMode, duration)
-		}
-	case 4:
+	case faultFront:
 		return func() {
-			fi.setMode(fault{kind: "store of a host", disruptsStore: true}, ho.storeProxy, proxyMode, duration)
+			fi.setMode(fault{kind: kind, host: ho, affectsHost: true}, ho.callerProxy, proxyMode, duration)
 		}
-	case 5:
+	case faultStoreOfHost:
+		return func() { fi.setMode(fault{kind: kind, disruptsStore: true}, ho.storeProxy, proxyMode, duration) }
+	case faultStoreDown:
 		return func() { fi.failStore(duration) }
-	case 6:
-		return func() { fi.setMode(fault{kind: "backend link"}, ba.proxy, proxyMode, duration) }
-	case 7:
+	case faultBackendLink:
+		return func() { fi.setMode(fault{kind: kind, breaksResponsesOf: ba}, ba.proxy, proxyMode, duration) }
+	case faultBackend:
 		return func() { fi.failBackend(ba, backendFailure, duration) }
-	case 8:
+	case faultReplacement:
 		return func() { fi.replaceBackend(ba) }
-	case 9:
-		return func() { fi.recordWhile(fault{kind: "idle connections dropped"}, ba.proxy.DropConnections) }
+	case faultDroppedConns:
+		return func() { fi.recordWhile(fault{kind: kind}, ba.proxy.DropConnections) }
+	case faultKeyRevoked:
+		return func() { fi.recordWhile(fault{kind: kind}, fi.rotateAPIKey) }
+	case faultSilence:
+		return func() { fi.silence(kind, []*backend{ba}, silence) }
+	case faultSilentService:
+		return func() { fi.silence(kind, fi.deployment.backendsOf(ba.service), silence) }
+	case faultConfiguration:
+		return func() { fi.recordWhile(fault{kind: kind}, func() { fi.changeConfiguration(steps) }) }
+	case faultPlannedWork:
+		hosts := []*host{ho, pick(random, fi.deployment.hosts)}
+		return func() { fi.planWork(hosts, steps, duration/3) }
 	default:
-		return func() { fi.recordWhile(fault{kind: "key revoked"}, fi.rotateAPIKey) }
+		return func() { fi.recordWhile(fault{kind: faultReload}, func() { fi.reload(ho, signalled) }) }
 	}
 }
 
+// pick chooses one of the values.
+func pick[T any](random *rand.Rand, values []T) T { return values[random.IntN(len(values))] }
+
 // restart stops a host's process with a signal and starts it again after a
 // downtime.
 func (fi *faultInjector) restart(ho *host, kind string, sig syscall.Signal, downtime time.Duration) {
@@ -149,6 +206,7 @@
 		begin := time.Now()
 		ho.signal(sig)
 		ho.wait()
+		ho.setReady(false)
 		if took := time.Since(begin); took > stopTimeout+500*time.Millisecond {
 			fi.reportViolation("fault %q: host %s took %v to exit", kind, ho.name, took)
 		}
@@ -165,6 +223,7 @@
 	client := &http.Client{Timeout: readinessCheckTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for deadline := time.Now().Add(startupTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		if ho.ready(client) {
+			ho.setReady(true)
 			return
 		}
 	}
@@ -173,7 +232,7 @@
 func (fi *faultInjector) pause(ho *host, duration time.Duration) {
 	fi.processLocks[ho].Lock()
 	defer fi.processLocks[ho].Unlock()
-	fi.recordWhile(fault{kind: "pause", host: ho, affectsHost: true, disruptsStore: true}, func() {
+	fi.recordWhile(fault{kind: faultPause, host: ho, affectsHost: true, disruptsStore: true}, func() {
 		ho.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		ho.signal(syscall.SIGCONT)
@@ -190,7 +249,7 @@
 }
 
 func (fi *faultInjector) failStore(duration time.Duration) {
-	fi.recordWhile(fault{kind: "store down", disruptsStore: true}, func() {
+	fi.recordWhile(fault{kind: faultStoreDown, disruptsStore: true}, func() {
 		fi.deployment.store.SetErrorStatus(http.StatusServiceUnavailable)
 		time.Sleep(duration)
 		fi.deployment.store.SetErrorStatus(0)
@@ -198,13 +257,41 @@
 }
 
 func (fi *faultInjector) failBackend(ba *backend, mode failureMode, duration time.Duration) {
-	fi.recordWhile(fault{kind: "backend misbehaves"}, func() {
+	fa := fault{kind: faultBackend}
+	if mode.breaksResponses() {
+		fa.breaksResponsesOf = ba
+	}
+	fi.recordWhile(fa, func() {
 		ba.setFailureMode(mode)
 		time.Sleep(duration)
 		ba.setFailureMode(healthy)
 	})
 }
 
+const (
+	minSilence = 300 * time.Millisecond
+	maxSilence = 1300 * time.Millisecond
+)
+
+// silence makes sound backend servers fall silent for a while and then go on. All
+// their responses are still complete.
+func (fi *faultInjector) silence(kind string, backends []*backend, duration time.Duration) {
+	if !fi.silenceMu.TryLock() {
+		return // servers are silent already; together it could be for long
+	}
+	defer fi.silenceMu.Unlock()
+	fi.recordWhile(fault{kind: kind}, func() {
+		for _, ba := range backends {
+			ba.proxy.SetMode(Blackhole)
+		}
+		time.Sleep(duration)
+		for _, ba := range backends {
+			ba.proxy.SetMode(PassThrough)
+		}
+	})
+	time.Sleep(maxSilence)
+}
+
 // replaceBackend drains a backend server, removes it from the list and adds it
 // again under another ID.
 func (fi *faultInjector) replaceBackend(ba *backend) {
@@ -214,7 +301,7 @@
 	ba.id = fmt.Sprintf("%s-%d", ba.service, 100+fi.replacedServers)
 	next := ba.id
 	fi.mu.Unlock()
-	fi.recordWhile(fault{kind: "backend replaced"}, func() {
+	fi.recordWhile(fault{kind: faultReplacement}, func() {
 		fi.deployment.store.PutServer(old, ba.service, ba.proxy.Address(), "draining")
 		time.Sleep(time.Second)
 		fi.deployment.store.DeleteServer(old)
@@ -231,11 +318,11 @@
 	old := apiKey(fi.apiKeyNumber)
 	fi.apiKeyNumber++
 	next := apiKey(fi.apiKeyNumber)
-	fi.configure(fakestore.WithAPIKeys(old, next))
+	fi.configure(func(oc *operatorConfig) { oc.apiKeys = []string{old, next} })
 	time.Sleep(maxConfigDelay + timingTolerance)
 	fi.deployment.callerState.setAPIKey(next)
 	time.Sleep(time.Second)
-	fi.configure(fakestore.WithAPIKeys(next))
+	fi.configure(func(oc *operatorConfig) { oc.apiKeys = []string{next} })
 	revoked := time.Now()
 	time.Sleep(maxConfigDelay + timingTolerance)
 	for _, ho := range fi.deployment.hosts {
@@ -259,14 +346,6 @@
 	return fmt.Sprintf("key-%d", number)
 }
 
-// configure publishes a new version of the configuration.
-func (fi *faultInjector) configure(changes ...func(map[string]any)) {
-	fi.mu.Lock()
-	defer fi.mu.Unlock()
-	fi.configVersion++
-	fi.deployment.store.PutConfiguration(fi.configVersion, changes...)
-}
-
 // storeDisrupted reports whether hosts may have missed a change in the store
 // between begin and end. A fault counts until maxConfigDelay after its end.
 func (fi *faultInjector) storeDisrupted(begin, end time.Time) bool {
--- a/soak/host.go
+++ b/soak/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,7 +31,7 @@
 	// retryRatio is the number of retries per request that all hosts together may
 	// make in each retryWindow, and retrySlack the number beyond this ratio.
 	retryRatio            = 0.1
-	retrySlack            = 60.0
+	retrySlack            = 16.0
 	retryWindow           = 10 * time.Second
 	readinessCheckTimeout = 300 * time.Millisecond
 	peerPort              = "6021"
@@ -53,6 +54,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	isReady bool // the process has been ready since its start, so that it handles signals
 }
 
 // newHost returns a host that is not yet started, and a function that kills it
@@ -99,11 +101,9 @@
 
 // start writes the settings file and starts the process.
 func (ho *host) start() error {
-	data, err := json.Marshal(ho.settings)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if err := os.WriteFile(ho.settingsPath, data, 0o600); err != nil {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if err := ho.writeSettings(); err != nil {
 		return errors.Trace(err)
 	}
 	process := exec.Command(ho.binary, "gateway", "--settings", ho.settingsPath)
@@ -116,12 +116,43 @@
 		_ = process.Wait() // the exit reason is in the host's log
 		close(exited)
 	}()
-	ho.mu.Lock()
-	defer ho.mu.Unlock()
 	ho.process, ho.exited = process, exited
 	return nil
 }
 
+// writeSettings writes the settings file. The caller must hold mu.
+func (ho *host) writeSettings() error {
+	data, err := json.Marshal(ho.settings)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(ho.settingsPath, data, 0o600))
+}
+
+// rotateSeeds changes the order of the seeds in the settings file.
+func (ho *host) rotateSeeds() error {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.settings.Seeds = append(slices.Clone(ho.settings.Seeds[1:]), ho.settings.Seeds[0])
+	return ho.writeSettings()
+}
+
+func (ho *host) setReady(isReady bool) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.isReady = isReady
+}
+
+// signalIfReady signals a process that has been ready since its start.
+func (ho *host) signalIfReady(sig syscall.Signal) {
+	ho.mu.Lock()
+	isReady := ho.isReady
+	ho.mu.Unlock()
+	if isReady {
+		ho.signal(sig)
+	}
+}
+
 // signal sends a signal to the process if it was started.
 func (ho *host) signal(sig syscall.Signal) {
 	ho.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,11 +5,13 @@
 //   - A request that must not be repeated is executed at most once, and one that is
 //     refused as not run is not executed.
 //   - A response is signed by a backend server and has the expected body, or a prefix of
-//     it if the response breaks off. A request gets no response only if a fault explains
-//     that.
+//     it if the response breaks off. A request gets no response, or an incomplete one,
+//     only if a fault explains that. A server that is silent for a second does not.
 //   - Retries stay within their limits.
 //   - A valid API key is accepted, and a revoked one is refused within the maximum
 //     delay of a configuration change.
+//   - A route of the configuration is served, and a removed one is not, within that
+//     delay.
 //   - After the last fault, requests to every host succeed again.
 //
 // Package replay, in contrast, simulates faults in virtual time.
@@ -40,6 +42,8 @@
 	// Seed determines which faults are injected and when, and seeds the callers'
 	// choice of requests.
 	Seed uint64
+	// Kinds are the kinds of faults to inject, one of Kinds each; all if empty.
+	Kinds []string
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Hosts is the number of gateway hosts.
@@ -78,6 +82,17 @@
 	cleanups      []func()
 }
 
+// backendsOf returns the backend servers of a service.
+func (de *deployment) backendsOf(service string) []*backend {
+	var backends []*backend
+	for _, ba := range de.backends {
+		if ba.service == service {
+			backends = append(backends, ba)
+		}
+	}
+	return backends
+}
+
 func (de *deployment) close() {
 	for ix := len(de.cleanups) - 1; ix >= 0; ix-- {
 		de.cleanups[ix]()
@@ -104,7 +119,7 @@
 	if err := de.start(plan); err != nil {
 		return Report{}, errors.Trace(err)
 	}
-	fi := newFaultInjector(de)
+	fi := newFaultInjector(de, plan.Kinds)
 	ctx, cancel := context.WithTimeout(ctx, plan.FaultDuration)
 	defer cancel()
 	callerCtx, stopCallers := context.WithCancel(context.Background())
@@ -133,7 +148,7 @@
 		storeServer.CloseClientConnections()
 		storeServer.Close()
 	})
-	de.store.PutConfiguration(1)
+	de.store.PutConfiguration(1, initialConfig().apply)
 	for _, service := range []string{fakestore.AppService, fakestore.EngineService} {
 		for ix := range serversPerService {
 			ba, stop, err := newBackend(fmt.Sprintf("%s-%d", service, ix), service, service == fakestore.EngineService, de.requestCounts)
@@ -167,14 +182,21 @@
 
 // probe checks that requests to every host succeed again after the last fault.
 func (fi *faultInjector) probe() {
+	var group sync.WaitGroup
 	for number := range probeCount {
-		ho := fi.deployment.hosts[number%len(fi.deployment.hosts)]
-		path := []string{fakestore.IdempotentPath, fakestore.NonIdempotentPath, fakestore.NonResumableStreamPath}[number%3]
-		_, apiKey := fi.deployment.callerState.pickHost(rand.New(rand.NewPCG(1, 1)))
-		ou := sendRequest(&http.Transport{DisableKeepAlives: true}, outcome{id: fmt.Sprintf("probe-%d", number), path: path, apiKey: apiKey, host: ho})
-		if ou.status != http.StatusOK || ou.err != nil {
-			fi.reportViolation("request %s to %s at host %s failed after the last fault: status %d, body %q, error %v", ou.id, path, ho.name, ou.status, ou.body, ou.err)
-		}
+		group.Go(func() { fi.probeOnce(number) })
+	}
+	group.Wait()
+}
+
+func (fi *faultInjector) probeOnce(number int) {
+	ho := fi.deployment.hosts[number%len(fi.deployment.hosts)]
+	path := []string{fakestore.IdempotentPath, fakestore.NonIdempotentPath, fakestore.NonResumableStreamPath}[number%3]
+	ou := sendRequest(&http.Transport{DisableKeepAlives: true}, outcome{
+		id: fmt.Sprintf("probe-%d", number), path: path, apiKey: fi.deployment.callerState.currentAPIKey(), host: ho,
+	})
+	if ou.status != http.StatusOK || ou.err != nil {
+		fi.reportViolation("request %s to %s at host %s failed after the last fault: status %d, body %q, error %v", ou.id, path, ho.name, ou.status, ou.body, ou.err)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,9 +19,7 @@
 // often than allowed or answered wrongly while faults are active, and against hosts that
 // do not recover. A seed that finds a bug is added here, with a note of what it found.
 func TestFaultInjectionWithFixedSeeds(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "mangopaddle")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/mangopaddle").CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary := buildBinary(t)
 	for _, seed := range []uint64{1, 2} {
 		report, err := soak.Run(t.Context(), soak.Plan{
 			Binary: binary, Directory: t.TempDir(), Seed: seed, FaultDuration: 3 * time.Second, Hosts: 2, Callers: 6,
@@ -32,6 +30,27 @@
 	}
 }
 
+// TestSilentServersBreakNoStream guards against streams that are given up while their
+// servers are only silent for a moment.
+func TestSilentServersBreakNoStream(t *testing.T) {
+	report, err := soak.Run(t.Context(), soak.Plan{
+		Binary: buildBinary(t), Directory: t.TempDir(), Seed: 1, Kinds: []string{"service silent"},
+		FaultDuration: 6 * time.Second, Hosts: 2, Callers: 24,
+	})
+	require.NoError(t, err)
+	require.Positive(t, report.CompleteResponses)
+	require.Empty(t, report.Violations)
+}
+
+// buildBinary builds the program under test and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "mangopaddle")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../cmd/mangopaddle").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
 // startEchoServer starts a server that sends back all data that it receives, and returns
 // its address.
 func startEchoServer(t *testing.T) string {
