--- a/soak/check.go
+++ b/soak/check.go
@@ -124,9 +124,11 @@
 }
 
 // checkBrokenResponse reports an incomplete response although no fault affected its host,
-// and none broke off a response of the backend servers that received the request.
+// none broke off a response of the backend servers that received the request, and its time
+// was not up.
 func (fi *faultInjector) checkBrokenResponse(ou outcome) {
-	if ou.status == 0 || ou.err == nil || fi.isExcused(ou) || fi.brokenByBackend(ou) {
+	timedOut := ou.end.Sub(ou.begin) >= callerTimeout
+	if ou.status == 0 || ou.err == nil || timedOut || fi.isExcused(ou) || fi.brokenByBackend(ou) {
 		return
 	}
 	fi.reportViolation("request %s to %s at host %s got an incomplete response after %v: status %d, %d bytes, %v",
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -60,13 +60,17 @@
 	CompleteResponses int
 	// Faults lists the kinds of the injected faults, in order.
 	Faults []string
+	// LongestStall is the longest time by which a timer of this process was late: on an
+	// overloaded machine, requests run into their timeouts without a fault.
+	LongestStall time.Duration
 	// Violations describes each violation of a guarantee.
 	Violations []string
 }
 
 // Write writes the report as text. It ignores errors of out.
 func (re Report) Write(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d answered, faults: %s\n", re.Seed, re.Requests, re.CompleteResponses, strings.Join(re.Faults, ", "))
+	fmt.Fprintf(out, "seed %d: %d requests, %d answered, longest stall %v, faults: %s\n",
+		re.Seed, re.Requests, re.CompleteResponses, re.LongestStall.Round(time.Millisecond), strings.Join(re.Faults, ", "))
 	for _, violation := range re.Violations {
 		fmt.Fprintln(out, "  BROKEN:", violation)
 	}
@@ -126,6 +130,8 @@
 	defer stopCallers()
 	var callers sync.WaitGroup
 	callers.Go(func() { de.callerState.pollReadiness(callerCtx) })
+	var longestStall time.Duration
+	callers.Go(func() { longestStall = measureStalls(callerCtx) })
 	for _, ho := range de.hosts {
 		fi.awaitReady(ho)
 	}
@@ -138,7 +144,20 @@
 	stopCallers()
 	callers.Wait()
 	fi.check()
-	return fi.report(plan.Seed), nil
+	re := fi.report(plan.Seed)
+	re.LongestStall = longestStall
+	return re, nil
+}
+
+// measureStalls returns the longest time by which a timer was late until the context ends.
+func measureStalls(ctx context.Context) time.Duration {
+	var longest time.Duration
+	for ctx.Err() == nil {
+		begin := time.Now()
+		time.Sleep(pollInterval)
+		longest = max(longest, time.Since(begin)-pollInterval)
+	}
+	return longest
 }
 
 // start starts the store, the backend servers and the hosts.
