--- a/backend/conn.go
+++ b/backend/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	// maxUnrelatedBytes is the longest body of a response to another request that
 	// is skipped.
 	maxUnrelatedBytes = 256 << 10
+	// maxRefused is the number of refused requests after which a connection is closed.
+	maxRefused = 64
 )
 
 // Errors of an exchange. Callers may get their texts, which call a response an
@@ -49,6 +52,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	exchanges   int         // requests sent so far
+	refused     []string    // IDs of requests that the server refused on this connection
 	broken      atomic.Bool // must not be reused
 	bodyWritten chan error  // result of writing a long body concurrently
 }
@@ -103,10 +107,29 @@
 	return err == nil && open
 }
 
+// HasUnread reports whether the server has sent bytes that were not read yet. It may be
+// called while the connection is being read.
+func (co *Conn) HasUnread() bool {
+	if co.raw == nil {
+		return false
+	}
+	unread := false
+	_ = co.raw.Control(func(fd uintptr) { // fails if the connection is closed
+		var buf [1]byte
+		count, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	})
+	return unread
+}
+
 // Reused reports whether the connection has carried an earlier request, a late
 // response to which may arrive in place of the one to the present request.
 func (co *Conn) Reused() bool { return co.exchanges > 1 }
 
+// HasRefused reports whether the server has refused a request with an ID on the
+// connection. It may write that response once more.
+func (co *Conn) HasRefused(id string) bool { return slices.Contains(co.refused, id) }
+
 // Exchange is a request that was sent, with its response. It must be ended with
 // Finish or Abort.
 type Exchange struct {
@@ -134,19 +157,11 @@
 
 // Send writes a request and reads the header of its response. The connection is
 // closed when the context ends. The function matches reports whether a response
-// belongs to the request. The header must arrive within readTimeout, unless
-// that is zero; the deadline also applies to the body until SetReadDeadline
-// changes it. After an error, the server may or may not have run the request.
-func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, readTimeout time.Duration, matches func(*http.Response) bool) (*Exchange, error) {
+// belongs to the request. After an error, the server may or may not have run the request.
+func (co *Conn) Send(ctx context.Context, po *Pool, rq *http.Request, body []byte, matches func(*http.Response) bool) (*Exchange, error) {
 	co.exchanges++
-	if readTimeout > 0 {
-		_ = co.net.SetReadDeadline(time.Now().Add(readTimeout))
-	}
 	ex := &Exchange{conn: co, pool: po}
-	ex.stop = context.AfterFunc(ctx, func() {
-		co.broken.Store(true)
-		_ = co.net.Close()
-	})
+	ex.stop = context.AfterFunc(ctx, co.Interrupt)
 	if err := co.write(rq, body); err != nil {
 		ex.Abort()
 		return nil, errors.Trace(err)
@@ -208,10 +223,11 @@
 	return nil, errors.Trace(ErrNoMatchingResponse)
 }
 
-// SetReadDeadline sets the deadline for further reads of the response; the zero
-// time removes it.
-func (ex *Exchange) SetReadDeadline(at time.Time) error {
-	return ex.conn.net.SetReadDeadline(at)
+// Interrupt closes a connection that another goroutine sends on or reads from, which gets
+// an error.
+func (co *Conn) Interrupt() {
+	co.broken.Store(true)
+	_ = co.net.Close()
 }
 
 // AtEnd reports whether the response ends where it was read to. It may wait for the
@@ -243,10 +259,21 @@
 		return
 	}
 	ex.finished = true
-	_ = co.net.SetReadDeadline(time.Time{})
 	ex.pool.put(co, idleTimeout)
 }
 
+// CloseAfterUse keeps the connection from being used again after the exchange.
+func (ex *Exchange) CloseAfterUse() { ex.conn.broken.Store(true) }
+
+// FinishRefused is Finish for a response by which the server refuses the request with an ID.
+func (ex *Exchange) FinishRefused(id string, idleTimeout time.Duration) {
+	if ex.conn.refused = append(ex.conn.refused, id); len(ex.conn.refused) >= maxRefused {
+		ex.Abort()
+		return
+	}
+	ex.Finish(idleTimeout)
+}
+
 // bodySent reports whether the whole request was written.
 func (co *Conn) bodySent() bool {
 	if co.bodyWritten == nil {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -80,6 +80,18 @@
 	return po, po.close
 }
 
+// GetFor is like Get, but never returns a connection on which the server has refused a
+// request with the same ID: that response, written once more, would be taken for the one
+// to the present request.
+func (po *Pool) GetFor(ctx context.Context, id, address string, maxIdleAge time.Duration) (*Conn, error) {
+	co, err := po.Get(ctx, address, maxIdleAge)
+	if err != nil || !co.HasRefused(id) {
+		return co, errors.Trace(err)
+	}
+	po.drop(co)
+	return po.Get(ctx, address, 0)
+}
+
 // Get returns an idle connection that was last used less than maxIdleAge ago,
 // or else opens a new one. A maxIdleAge of zero always opens a new one. If Get
 // returns an error, no byte of the request was sent.
@@ -89,7 +101,7 @@
 	}
 	nc, err := po.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		po.closeIdleTo(address)
+		po.CloseIdleTo(address)
 		return nil, errors.Annotatef(err, "connection to %s", address)
 	}
 	po.mu.Lock()
@@ -115,6 +127,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// IsInterrupted reports whether an error of an exchange means that this host closed the
+// connection.
+func IsInterrupted(err error) bool { return errors.Is(err, net.ErrClosed) }
+
 // IsRefused reports whether an error of Get or Probe means that nothing listens at the
 // address.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
@@ -219,8 +235,9 @@
 	clear(po.idle)
 }
 
-// closeIdleTo closes the idle connections to a server that can't be reached.
-func (po *Pool) closeIdleTo(address string) {
+// CloseIdleTo closes the idle connections to a server that can't be reached or is about to
+// stop.
+func (po *Pool) CloseIdleTo(address string) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	for _, co := range po.idle[address] {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -12,6 +12,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/engine"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
 // startEngine serves a fixed body and headers to every request and returns the
@@ -114,6 +115,104 @@
 	require.True(t, failure.IdleTimedOut)
 }
 
+// firstID and secondID are request IDs as the router gives them.
+const (
+	firstID  = "req-6b29fc40-ca47-4067-b31d-00dd010662da"
+	secondID = "req-0f8fad5b-d9cb-469f-a165-70867728950e"
+)
+
+// TestRepeatedRefusalDoesNotSayThatNothingRan guards against a refusal that an engine writes
+// once more on a kept connection, so that the caller is told that its request was not run.
+func TestRepeatedRefusalDoesNotSayThatNothingRan(t *testing.T) {
+	for name, repeated := range map[string]struct {
+		line   string
+		notRun bool
+	}{
+		"with the ID of the earlier request": {mp.HeaderRequestID + ": " + firstID + "\r\n", false},
+		"without an ID":                      {"", false},
+		"with an ID of the engine's own":     {mp.HeaderRequestID + ": cmpl-17\r\n", false},
+		"a refusal of the present request":   {mp.HeaderRequestID + ": " + secondID + "\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n"
+			server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				if rq.Header.Get(mp.HeaderRequestID) == firstID {
+					co.Printf(refusal, mp.HeaderRequestID+": "+firstID+"\r\n")
+					return true
+				}
+				co.Printf(refusal, repeated.line)
+				return true
+			})
+			require.NoError(t, err)
+			t.Cleanup(stop)
+			client, closeClient := engine.New()
+			t.Cleanup(closeClient)
+			run := func(id mp.RequestID) *engine.Failure {
+				err := client.Run(t.Context(), engine.Request{
+					ID: id, Address: server.Address(), Path: "/v1/chat/completions", Body: []byte("{}"),
+					OnEvent: func(engine.Event) error { return nil },
+				})
+				var failure *engine.Failure
+				require.ErrorAs(t, err, &failure)
+				return failure
+			}
+			require.True(t, run(firstID).NotRun())
+			second := run(secondID)
+			requests := server.Requests()
+			require.Equal(t, 1, requests[len(requests)-1].ConnectionNumber, "the connection is kept")
+			require.Equal(t, repeated.notRun, second.NotRun())
+			require.False(t, second.IsClientError())
+		})
+	}
+}
+
+// TestAnswerToAnotherRequestIsNotRelayed guards against a stream that an engine sends late, in
+// place of the answer to the next request on its connection.
+func TestAnswerToAnotherRequestIsNotRelayed(t *testing.T) {
+	address := startEngine(t, sseEvent(1, `"of another"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {firstID}})
+	events, err := runRequest(t, address, 0)
+	require.Empty(t, events)
+	var failure *engine.Failure
+	require.ErrorAs(t, err, &failure)
+	require.False(t, failure.NotRun())
+	address = startEngine(t, sseEvent(1, `"own"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {"cmpl-17"}})
+	events, err = runRequest(t, address, 0)
+	require.NoError(t, err, "an ID of the engine's own")
+	require.Len(t, events, 1)
+}
+
+// TestErrorOfEngineIsNotRelayed guards against the text of an engine's error in the middle of a
+// stream that had begun at another one, or a stream that ends with it as complete.
+func TestErrorOfEngineIsNotRelayed(t *testing.T) {
+	resumed := http.Header{http.CanonicalHeaderKey(mp.HeaderResumedAt): {"4"}}
+	for name, text := range map[string]string{
+		"error event, end":           "data: {\"error\":{\"message\":\"overloaded\"}}\n\n" + endEvent,
+		"error event with an ID":     sseEvent(5, `{"error":{"message":"overloaded"}}`) + endEvent,
+		"error as text":              "data: {\"error\": \"overloaded\"}\n\n" + endEvent,
+		"event of type error":        "event: error\ndata: overloaded\n\n" + endEvent,
+		"plain text":                 "error: overloaded\n\n",
+		"JSON":                       `{"error":{"message":"overloaded"}}`,
+		"head of an answer":          "HTTP/1.1 500 Internal Server Error\r\n\r\noverloaded\n\n",
+		"nothing":                    "",
+		"HTML":                       "<html>overloaded</html>\n\n",
+		"error event behind a token": sseEvent(5, `"five"`) + "data: {\"error\":{\"message\":\"overloaded\"}}\n\n" + endEvent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			events, err := runRequest(t, startEngine(t, text, resumed), 4)
+			var failure *engine.Failure
+			require.ErrorAs(t, err, &failure, "the stream must not look complete")
+			require.False(t, failure.NotRun())
+			for _, ev := range events {
+				require.Equal(t, engine.Event{TokenCount: 5, Data: `"five"`}, ev)
+			}
+		})
+	}
+	sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":null}`)
+	events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
+	require.NoError(t, err)
+	require.Len(t, events, 1)
+}
+
 // FuzzRelay checks that for any bytes from an engine the token counts never
 // fall and that a stream without the end marker is an error.
 func FuzzRelay(f *testing.F) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -63,6 +63,8 @@
 // service, and reads its body. If it returns an error, the request is not sent to
 // any backend server.
 func (ga *Gateway) admit(re *request) *mp.Error {
+	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
+	re.headers, re.segments = headers, sharedSegments(headers)
 	table := re.snapshot.Table
 	if table == nil {
 		return mp.NewError(mp.KindNotConfigured, "no configuration yet")
@@ -75,8 +77,6 @@
 		return mp.NewError(mp.KindNotFound, "no route for host %q and path %q in configuration %d", re.rq.Host, path(re.rq), table.Version)
 	}
 	re.route = route
-	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
-	re.headers, re.segments = headers, sharedSegments(headers)
 	if !route.Public && table.RequiresAPIKey() {
 		organisation, ok := table.OrganisationByAPIKey(headers.APIKey)
 		if !ok {
@@ -177,7 +177,7 @@
 			ga.fail(ctx, re, err)
 			return
 		}
-		result := ga.attempt(ctx, re, ch)
+		ch, result := ga.attempt(ctx, re, ch)
 		if result.done {
 			return
 		}
@@ -195,7 +195,10 @@
 	switch {
 	case re.stream != nil:
 		re.log(ga.logger.Warn(), "stream_broken").Str("cause", err.Error()).Str("last_event", re.stream.lastEventID()).
-			Int("attempts", re.attempts).Dur("took_ms", ga.clock.Since(re.arrived)).Msg("stream aborted before its end")
+			Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Int("servers", len(re.tried)).
+			Dur("silent_ms", re.stream.silence(ga.clock.Now())).Dur("left_ms", re.remaining(ga.clock.Now())).
+			Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).
+			Dur("took_ms", ga.clock.Since(re.arrived)).Msg("stream aborted before its end")
 		ga.counters.countBrokenStream()
 		panic(http.ErrAbortHandler) // aborts the connection, so that the stream does not look complete
 	case re.lastFailure != nil:
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -56,14 +56,29 @@
 	class        mp.ClassName
 }
 
-// flow is the state of one organisation's class: its rate limits, its answer
-// lengths and its position in the fair queue.
+// flow is the state of one organisation's class.
 type flow struct {
 	promisedBucket share.Bucket // separates requests within the promised rate from those above it
 	maxBucket      share.Bucket // limits requests to the maximum rate
-	answerLengths  estimate.LengthHistogram
-	fairFlow       admission.Flow
-	active         int // requests waiting or running
+	active         int          // requests waiting or running
+	models         map[mp.ModelID]*modelFlow
+}
+
+// modelFlow is the state of one organisation's class at one model, which has a queue of
+// its own.
+type modelFlow struct {
+	answerLengths *estimate.LengthHistogram
+	fairFlow      admission.Flow
+}
+
+// model returns the state of the class at a model, and creates it if it does not exist.
+func (fl *flow) model(id mp.ModelID, mg *modelGroup) *modelFlow {
+	mf, ok := fl.models[id]
+	if !ok {
+		mf = &modelFlow{answerLengths: estimate.New(mg.answerLengths)}
+		fl.models[id] = mf
+	}
+	return mf
 }
 
 // job is a request that is waiting or running.
@@ -81,7 +96,8 @@
 // Option configures a Scheduler.
 type Option func(*Scheduler)
 
-// WithHosts sets the number of hosts that share the engines. The default is 1.
+// WithHosts sets the number of hosts of the region, which share its engines. The default
+// is 1.
 func WithHosts(hosts int) Option {
 	return func(sc *Scheduler) { sc.hosts = hosts }
 }
@@ -150,11 +166,11 @@
 
 // flowFor returns the flow of the request's organisation and class, and updates its
 // rates to those of the request.
-func (sc *Scheduler) flowFor(now time.Time, rq *mp.Request, mg *modelGroup) *flow {
+func (sc *Scheduler) flowFor(now time.Time, rq *mp.Request) *flow {
 	key := flowKey{organisation: rq.Organisation, class: rq.Class}
 	fl, ok := sc.flows[key]
 	if !ok {
-		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), answerLengths: *estimate.New(mg.answerLengths)}
+		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), models: map[mp.ModelID]*modelFlow{}}
 		sc.flows[key] = fl
 	}
 	if fl.promisedBucket.Rate() != rq.PromisedRate || fl.maxBucket.Rate() != rq.MaxRate {
@@ -162,7 +178,6 @@
 		fl.promisedBucket.SetRate(rq.PromisedRate)
 		fl.maxBucket.SetRate(rq.MaxRate)
 	}
-	fl.fairFlow.Weight = float64(rq.PromisedRate)
 	return fl
 }
 
@@ -175,11 +190,11 @@
 	if mg == nil || len(mg.engines) == 0 {
 		return refuse(mp.KindNoBackend, 0)
 	}
-	fl := sc.flowFor(now, &rq, mg)
+	fl := sc.flowFor(now, &rq)
 	if rq.MaxConcurrency > 0 && fl.active >= rq.MaxConcurrency {
 		return refuse(mp.KindShareExceeded, 0)
 	}
-	cost := fl.estimateCost(&rq)
+	cost := estimateCost(&rq, fl.model(rq.Model, mg).answerLengths)
 	promised := fl.promisedBucket.HasCredit(now)
 	if rq.MaxRate > 0 && !fl.maxBucket.HasCredit(now) {
 		return sc.bestEffort(now, mg, rq, fl, cost)
@@ -205,10 +220,10 @@
 	return refuse(mp.KindShareExceeded, fl.maxBucket.Delay(now))
 }
 
-// estimateCost estimates the cost of a request in answer tokens, before its answer
-// length is known.
-func (fl *flow) estimateCost(rq *mp.Request) mp.Tokens {
-	answer := fl.answerLengths.Quantile(costQuantile)
+// estimateCost estimates the cost of a request in answer tokens by the lengths of past
+// answers, before its own is known.
+func estimateCost(rq *mp.Request, lengths *estimate.LengthHistogram) mp.Tokens {
+	answer := lengths.Quantile(costQuantile)
 	if rq.MaxAnswerTokens > 0 {
 		answer = min(answer, rq.MaxAnswerTokens)
 	}
@@ -231,13 +246,15 @@
 	if expected > rq.MaxWait || mg.queue.Len() >= maxQueueDepth {
 		return refuse(mp.KindOverloaded, expected-rq.MaxWait)
 	}
+	fairFlow := &fl.model(rq.Model, mg).fairFlow
+	fairFlow.Weight = float64(rq.PromisedRate)
 	jo := sc.admit(rq, fl, cost, promised)
 	jo.item = admission.Item{
 		ID:       rq.ID,
 		Tier:     rq.Tier,
 		Promised: promised,
 		Cost:     cost,
-		Flow:     &fl.fairFlow,
+		Flow:     fairFlow,
 		Deadline: now.Add(rq.MaxWait),
 	}
 	mg.queue.Push(&jo.item)
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -389,3 +389,108 @@
 		})
 	}
 }
+
+// startOn submits requests until one starts on the engine, and returns its identifier. The
+// requests that start on others end with an answer.
+func startOn(t *testing.T, sc *schedule.Scheduler, engine mp.EngineID, number *int) mp.RequestID {
+	t.Helper()
+	for range 100 {
+		*number++
+		rq := request(*number, 0)
+		de := sc.Submit(epoch, rq)
+		require.Equal(t, mp.ActionStart, de.Action)
+		if de.Engine == engine {
+			return rq.ID
+		}
+		sc.Done(epoch, rq.ID, mp.Outcome{AnswerTokens: 1, TimeToFirstToken: time.Millisecond})
+	}
+	require.Fail(t, "no request started", "on engine %s", engine)
+	return ""
+}
+
+// TestCancelledAttemptDoesNotClearFailures guards against an engine that fails every
+// request and is never ejected because callers disconnect in between.
+func TestCancelledAttemptDoesNotClearFailures(t *testing.T) {
+	const failing mp.EngineID = "e0"
+	sc := schedule.New()
+	sc.SetEngines(engines(3, 4))
+	number := 0
+	for range 3 {
+		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{})
+		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{Failed: true})
+	}
+	for _, en := range sc.Engines(epoch) {
+		require.Equal(t, en.ID == failing, en.Ejected, en.ID)
+	}
+}
+
+// TestLongAnswersOfOneModelDontUseUpTheShareForAnother guards against a class whose
+// requests to a model with short answers count as above its maximum rate, because they are
+// estimated by the answers of another model.
+func TestLongAnswersOfOneModelDontUseUpTheShareForAnother(t *testing.T) {
+	const long, short mp.ModelID = "long", "short"
+	sc := schedule.New()
+	sc.SetEngines([]schedule.Engine{{ID: "e0", Models: []mp.ModelID{long, short}, Slots: 1000}})
+	number := 0
+	now := epoch
+	submit := func(model mp.ModelID) (mp.RequestID, mp.Decision) {
+		number++
+		rq := request(number, 0)
+		rq.Model, rq.PromptTokens, rq.MaxRate = model, 0, 1000
+		return rq.ID, sc.Submit(now, rq)
+	}
+	answer := func(model mp.ModelID, length mp.Tokens) {
+		id, _ := submit(model)
+		now = now.Add(time.Minute) // long enough for the share to recover
+		sc.Done(now, id, mp.Outcome{AnswerTokens: length, TimeToFirstToken: time.Millisecond})
+	}
+	for range 20 {
+		answer(long, 4000)
+		answer(short, 10)
+		answer(long, 4000)
+	}
+	withinShare := 0
+	for range 100 {
+		_, de := submit(short)
+		require.Equal(t, mp.ActionStart, de.Action)
+		if de.Priority <= 1 { // of the tier, not best effort
+			withinShare++
+		}
+	}
+	require.Equal(t, 100, withinShare)
+}
+
+// TestBacklogAtOneModelDoesNotDelayAClassAtAnother guards against a class that is served
+// last at a model because its requests wait for another one.
+func TestBacklogAtOneModelDoesNotDelayAClassAtAnother(t *testing.T) {
+	const busy, other mp.ModelID = "busy", "other"
+	sc := schedule.New()
+	sc.SetEngines([]schedule.Engine{
+		{ID: "e0", Models: []mp.ModelID{busy}, Slots: 1},
+		{ID: "e1", Models: []mp.ModelID{other}, Slots: 1},
+	})
+	number := 0
+	submit := func(class mp.ClassName, model mp.ModelID) mp.Request {
+		number++
+		rq := request(number, 2)
+		rq.Class, rq.Model, rq.MaxWait = class, model, time.Hour
+		sc.Submit(epoch, rq)
+		return rq
+	}
+	submit("first", busy)
+	first := submit("first", other)
+	for range 20 {
+		submit("backlogged", busy)
+	}
+	wanted := []mp.RequestID{
+		submit("backlogged", other).ID, submit("idle", other).ID, submit("backlogged", other).ID, submit("idle", other).ID,
+	}
+	var served []mp.RequestID
+	for running := first.ID; len(served) < len(wanted); {
+		sc.Done(epoch, running, mp.Outcome{AnswerTokens: 1, TimeToFirstToken: time.Millisecond})
+		next, ok := sc.Next(epoch)
+		require.True(t, ok)
+		served, running = append(served, next.ID), next.ID
+	}
+	require.Equal(t, wanted, served)
+}
