--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,11 +5,13 @@
 //   - A request that must not be repeated is executed at most once, and one that is
 //     refused as not run is not executed.
 //   - A response is signed by a backend server and has the expected body, or a prefix of
-//     it if the response breaks off. A request gets no response only if a fault explains
-//     that.
+//     it if the response breaks off. A request gets no response, or an incomplete one,
+//     only if a fault explains that. A server that is silent for a second does not.
 //   - Retries stay within their limits.
 //   - A valid API key is accepted, and a revoked one is refused within the maximum
 //     delay of a configuration change.
+//   - A route of the configuration is served, and a removed one is not, within that
+//     delay.
 //   - After the last fault, requests to every host succeed again.
 //
 // Package replay, in contrast, simulates faults in virtual time.
@@ -40,6 +42,8 @@
 	// Seed determines which faults are injected and when, and seeds the callers'
 	// choice of requests.
 	Seed uint64
+	// Kinds are the kinds of faults to inject, one of Kinds each; all if empty.
+	Kinds []string
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Hosts is the number of gateway hosts.
@@ -56,13 +60,17 @@
 	CompleteResponses int
 	// Faults lists the kinds of the injected faults, in order.
 	Faults []string
+	// LongestStall is the longest time by which a timer of this process was late: on an
+	// overloaded machine, requests run into their timeouts without a fault.
+	LongestStall time.Duration
 	// Violations describes each violation of a guarantee.
 	Violations []string
 }
 
 // Write writes the report as text. It ignores errors of out.
 func (re Report) Write(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d requests, %d answered, faults: %s\n", re.Seed, re.Requests, re.CompleteResponses, strings.Join(re.Faults, ", "))
+	fmt.Fprintf(out, "seed %d: %d requests, %d answered, longest stall %v, faults: %s\n",
+		re.Seed, re.Requests, re.CompleteResponses, re.LongestStall.Round(time.Millisecond), strings.Join(re.Faults, ", "))
 	for _, violation := range re.Violations {
 		fmt.Fprintln(out, "  BROKEN:", violation)
 	}
@@ -78,6 +86,17 @@
 	cleanups      []func()
 }
 
+// backendsOf returns the backend servers of a service.
+func (de *deployment) backendsOf(service string) []*backend {
+	var backends []*backend
+	for _, ba := range de.backends {
+		if ba.service == service {
+			backends = append(backends, ba)
+		}
+	}
+	return backends
+}
+
 func (de *deployment) close() {
 	for ix := len(de.cleanups) - 1; ix >= 0; ix-- {
 		de.cleanups[ix]()
@@ -104,13 +123,15 @@
 	if err := de.start(plan); err != nil {
 		return Report{}, errors.Trace(err)
 	}
-	fi := newFaultInjector(de)
+	fi := newFaultInjector(de, plan.Kinds)
 	ctx, cancel := context.WithTimeout(ctx, plan.FaultDuration)
 	defer cancel()
 	callerCtx, stopCallers := context.WithCancel(context.Background())
 	defer stopCallers()
 	var callers sync.WaitGroup
 	callers.Go(func() { de.callerState.pollReadiness(callerCtx) })
+	var longestStall time.Duration
+	callers.Go(func() { longestStall = measureStalls(callerCtx) })
 	for _, ho := range de.hosts {
 		fi.awaitReady(ho)
 	}
@@ -123,7 +144,20 @@
 	stopCallers()
 	callers.Wait()
 	fi.check()
-	return fi.report(plan.Seed), nil
+	re := fi.report(plan.Seed)
+	re.LongestStall = longestStall
+	return re, nil
+}
+
+// measureStalls returns the longest time by which a timer was late until the context ends.
+func measureStalls(ctx context.Context) time.Duration {
+	var longest time.Duration
+	for ctx.Err() == nil {
+		begin := time.Now()
+		time.Sleep(pollInterval)
+		longest = max(longest, time.Since(begin)-pollInterval)
+	}
+	return longest
 }
 
 // start starts the store, the backend servers and the hosts.
@@ -133,7 +167,7 @@
 		storeServer.CloseClientConnections()
 		storeServer.Close()
 	})
-	de.store.PutConfiguration(1)
+	de.store.PutConfiguration(1, initialConfig().apply)
 	for _, service := range []string{fakestore.AppService, fakestore.EngineService} {
 		for ix := range serversPerService {
 			ba, stop, err := newBackend(fmt.Sprintf("%s-%d", service, ix), service, service == fakestore.EngineService, de.requestCounts)
@@ -167,14 +201,21 @@
 
 // probe checks that requests to every host succeed again after the last fault.
 func (fi *faultInjector) probe() {
+	var group sync.WaitGroup
 	for number := range probeCount {
-		ho := fi.deployment.hosts[number%len(fi.deployment.hosts)]
-		path := []string{fakestore.IdempotentPath, fakestore.NonIdempotentPath, fakestore.NonResumableStreamPath}[number%3]
-		_, apiKey := fi.deployment.callerState.pickHost(rand.New(rand.NewPCG(1, 1)))
-		ou := sendRequest(&http.Transport{DisableKeepAlives: true}, outcome{id: fmt.Sprintf("probe-%d", number), path: path, apiKey: apiKey, host: ho})
-		if ou.status != http.StatusOK || ou.err != nil {
-			fi.reportViolation("request %s to %s at host %s failed after the last fault: status %d, body %q, error %v", ou.id, path, ho.name, ou.status, ou.body, ou.err)
-		}
+		group.Go(func() { fi.probeOnce(number) })
+	}
+	group.Wait()
+}
+
+func (fi *faultInjector) probeOnce(number int) {
+	ho := fi.deployment.hosts[number%len(fi.deployment.hosts)]
+	path := []string{fakestore.IdempotentPath, fakestore.NonIdempotentPath, fakestore.NonResumableStreamPath}[number%3]
+	ou := sendRequest(&http.Transport{DisableKeepAlives: true}, outcome{
+		id: fmt.Sprintf("probe-%d", number), path: path, apiKey: fi.deployment.callerState.currentAPIKey(), host: ho,
+	})
+	if ou.status != http.StatusOK || ou.err != nil {
+		fi.reportViolation("request %s to %s at host %s failed after the last fault: status %d, body %q, error %v", ou.id, path, ho.name, ou.status, ou.body, ou.err)
 	}
 }
 
