gateway: what goes on with a stream is checked field by field

What callers saw: in a stream that had broken off, the text of the next server's error still got in: in front of its events, between them, inside one, or behind them if its first word began like a field ("database unavailable", "identity unknown"); even a whole response header, which has no blank line of its own kind and so belonged to the event after it. A caller that went on with a stream itself got such text, or nothing, as the complete rest. And a sound rest was refused: none at all with a length of zero (what a plain Go handler sends that writes nothing), events without a type, a line with the version of the weights.

Cause: only what followed the last event with an ID was looked at, by the first bytes of a block and not by the names of its fields; whether an attempt goes on with a stream was asked of the host's own earlier attempts only.

Change: in an attempt that goes on with a stream, for the host or the caller, each line of each block has to be a comment or a field that events have; the first block that isn't ends the attempt, and another server may go on. A response without an event ends the stream if it is a stream of events that says by its length or last chunk that none is left. Events without a type are taken for what they are. What parses events is in a file of its own.

One that ends with its connection stays refused, since a cut looks the same.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,14 +31,16 @@
 	hasLastID bool
 	// events is the number of relayed events that have an ID.
 	events int
-	// resumed reports that an attempt goes on with the stream; it began when eventsBefore
-	// events had been relayed.
+	// resumed reports that an attempt goes on with the stream, after an earlier attempt or
+	// because the caller asked for it; it began when eventsBefore events had been relayed.
 	resumed      bool
 	eventsBefore int
 	// resumeAfter is the Last-Event-ID of the caller's own request.
 	resumeAfter string
-	// mediaType and encoding are those of the response that the caller receives.
-	mediaType, encoding string
+	// mediaType is that of the response that the caller receives, and encoded reports that
+	// its body is.
+	mediaType string
+	encoded   bool
 	// firstAt and lastAt are the times of the first and the last relayed events;
 	// longestGap is the longest time between two.
 	firstAt, lastAt time.Time
@@ -76,12 +78,19 @@
 const eventStreamType = "text/event-stream"
 
 // isContinuedBy reports whether a response can be the rest of a stream that has begun, by
-// its header: a success with a stream of events, or with the type that the stream began
-// with, in the same encoding.
+// its header: a success with a stream of events or of the type that the stream began with.
+// Whether a response without a type is one shows in its events. Parts of an encoded stream
+// can't be joined.
 func (st *streamState) isContinuedBy(response *http.Response) bool {
 	ty := mediaType(response)
-	return response.StatusCode == http.StatusOK && (ty == eventStreamType || ty == st.mediaType) &&
-		response.Header.Get("Content-Encoding") == st.encoding
+	return response.StatusCode == http.StatusOK && (ty == eventStreamType || ty == "" || ty == st.mediaType) &&
+		!isEncoded(response) && !st.encoded
+}
+
+// isEncoded reports whether the body of a response is encoded.
+func isEncoded(response *http.Response) bool {
+	encoding := response.Header.Get("Content-Encoding")
+	return encoding != "" && !strings.EqualFold(encoding, "identity")
 }
 
 // mediaType returns the media type of a response in lower case, without parameters.
@@ -178,9 +187,6 @@
 	return result{outcome: placement.Failed, mayHaveRun: true, err: cause}
 }
 
-// eventSeparator terminates each event of a stream.
-var eventSeparator = []byte("\n\n")
-
 // relayEvents writes the events of data that can be relayed to the caller, preceded by the
 // response header if they are the first, and returns their length. Events before one that
 // is out of order are still relayed, so that the stream can be resumed after them.
@@ -208,7 +214,8 @@
 // are left for later, because only the next ID or the regular end of the stream shows
 // that they are part of it. Of a stream without any ID so far, events with data are
 // relayed, and no mere comments, which a server may go on sending.
-// acceptEvents returns an error at the first event that is out of order.
+// acceptEvents returns an error at the first event that is out of order and, in an attempt
+// that goes on with a stream, at the first that is none.
 func (st *streamState) acceptEvents(data []byte) ([]byte, error) {
 	relayable, end := 0, 0
 	for {
@@ -233,10 +240,10 @@
 	st := &streamState{
 		resumeAfter: re.headers.LastEventID,
 		mediaType:   mediaType(response),
-		encoding:    response.Header.Get("Content-Encoding"),
+		encoded:     isEncoded(response),
 	}
 	if id, err := strconv.ParseInt(st.resumeAfter, 10, 64); err == nil && re.route.Resumable {
-		st.lastID, st.hasLastID = id, true
+		st.lastID, st.hasLastID, st.resumed = id, true, true
 	}
 	return st
 }
@@ -251,14 +258,12 @@
 	re.rw.WriteHeader(re.status)
 }
 
-// hasData reports whether an event has a line of data.
-func hasData(event []byte) bool {
-	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
-}
-
 // acceptEvent records one event and reports whether it has an ID. IDs must increase by
 // one, also from the last event that the caller had before.
 func (st *streamState) acceptEvent(event []byte) (bool, error) {
+	if st.resumed && !isEvent(event) {
+		return false, errors.Errorf("%.40q is no event", event)
+	}
 	id, ok := eventID(event)
 	if !ok {
 		return false, nil
@@ -271,19 +276,6 @@
 	return true, nil
 }
 
-// eventID returns the ID of an event, and false if it has no valid one.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
-
 // writeAndFlush sends data to the caller immediately.
 func (ga *Gateway) writeAndFlush(re *request, data []byte) error {
 	controller := http.NewResponseController(re.rw)
@@ -307,11 +299,15 @@
 	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
-	if re.stream != nil && re.stream.resumed && !re.stream.isEndedBy(ex, rest) {
+	st := re.stream
+	if st == nil {
+		st = newStreamState(re, ex.Response)
+	}
+	if st.resumed && !st.isEndedBy(ex, rest) {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
 	}
 	if re.stream == nil {
-		ga.beginStream(re, ex, newStreamState(re, ex.Response))
+		ga.beginStream(re, ex, st)
 	}
 	if len(rest) > 0 {
 		if err := ga.writeAndFlush(re, rest); err != nil {
@@ -324,26 +320,19 @@
 }
 
 // isEndedBy reports whether the regular end of a response is the end of a stream with which
-// it goes on. rest is what followed the last relayed event. A response that neither has an
-// event nor says by its own end that none is left may be an error or cut off.
+// it goes on. rest is what followed the last relayed event. A response without an event ends
+// the stream only if it is a stream of events and says by its length or its last chunk that
+// none is left: one that ends with its connection may have been cut.
 func (st *streamState) isEndedBy(ex *backend.Exchange, rest []byte) bool {
 	for block := range bytes.SplitSeq(rest, eventSeparator) {
-		if block = bytes.Trim(block, "\r\n"); len(block) > 0 && !isEvent(block) {
+		if !isEvent(block) {
 			return false
 		}
 	}
-	hasEvent := st.events > st.eventsBefore || hasData(rest)
-	return hasEvent || (!ex.EndsWithConnection() && ex.Response.ContentLength != 0)
-}
-
-// isEvent reports whether a block of a stream is an event or a comment.
-func isEvent(block []byte) bool {
-	for _, field := range []string{":", "data", "event", "id", "retry"} {
-		if bytes.HasPrefix(block, []byte(field)) {
-			return true
-		}
+	if st.events > st.eventsBefore || hasData(rest) {
+		return true
 	}
-	return hasData(block)
+	return !ex.EndsWithConnection() && mediaType(ex.Response) == eventStreamType
 }
 
 // hasAnyEvent reports whether the caller has received an event of the stream, also in an
@@ -354,9 +343,3 @@
 	}
 	return !re.stream.firstAt.IsZero() || re.stream.resumeAfter != ""
 }
-
-// endsWithEvent reports whether data is blank or ends with a complete event.
-func endsWithEvent(data []byte) bool {
-	trimmed := bytes.TrimRight(data, "\r\n")
-	return len(trimmed) == 0 || bytes.HasPrefix(data[len(trimmed):], eventSeparator)
-}
