schedule: a whole answer without tokens clears an engine's failures, a cancelled connection no backoff

What callers saw: since a cancelled attempt no longer clears an engine's failures, a completed one without a first token didn't either: an engine whose events have no IDs, a resumed attempt with nothing left but its end, an empty answer. Such an engine was ejected after three failures however many answers lay between. And a caller that disconnected while the host connected to an unreachable engine still ended that engine's backoff.

Cause: the outcome of an attempt didn't tell a whole answer from one that a caller gave up; both were "not failed".

Change: an outcome says that the engine completed the answer, or refused the request as invalid. Only that or a first token clears failures and backoff. On the code before, TestAnswerWithoutTokensClearsFailures failed (the engine was ejected) and TestCancelledAttemptDoesNotEndBackoff failed (expected: 8s, actual: 500ms).

--- a/caller/completion_request.go
+++ b/caller/completion_request.go
@@ -95,7 +95,7 @@
 	for {
 		err := cr.attempt(ctx)
 		if err == nil {
-			cr.lease.Release(cr.attemptOutcome(false))
+			cr.lease.Release(cr.completedOutcome())
 			return nil
 		}
 		failure, engineFailed := errors.AsType[*engine.Failure](err)
@@ -104,7 +104,7 @@
 			return mp.WrapError(err, mp.KindCallerGone, "the caller disconnected before the end of the answer")
 		}
 		if failure.IsClientError() && !cr.mayHaveRun {
-			cr.lease.Release(cr.attemptOutcome(false))
+			cr.lease.Release(cr.completedOutcome())
 			return mp.WrapError(err, mp.KindInvalidRequest, "the engine refused the request: %s", engineErrorMessage(failure))
 		}
 		if failure.FirstEventTimedOut {
@@ -216,6 +216,13 @@
 	return out
 }
 
+// completedOutcome describes the current attempt, which the engine has completed.
+func (cr *completionRequest) completedOutcome() mp.Outcome {
+	out := cr.attemptOutcome(false)
+	out.Completed = true
+	return out
+}
+
 // failedOutcome describes the current attempt, which failed, to the scheduler.
 func (cr *completionRequest) failedOutcome(failure *engine.Failure) mp.Outcome {
 	out := cr.attemptOutcome(true)
--- a/replay/run.go
+++ b/replay/run.go
@@ -174,7 +174,9 @@
 	if rq.produced != rq.trace.AnswerTokens {
 		re.result.WrongLength++
 	}
-	rq.host.scheduler.Done(re.virtualTime(), rq.id, rq.attemptOutcome(false))
+	outcome := rq.attemptOutcome(false)
+	outcome.Completed = true
+	rq.host.scheduler.Done(re.virtualTime(), rq.id, outcome)
 	re.finishRequest(rq)
 	re.dispatch(rq.host)
 }
--- a/schedule/engine.go
+++ b/schedule/engine.go
@@ -187,13 +187,13 @@
 		en.backOff(now)
 		return
 	}
-	en.consecutiveUnreachable = 0
 	if outcome.Failed {
+		en.consecutiveUnreachable = 0
 		en.consecutiveFailures++
 		return
 	}
-	if outcome.TimeToFirstToken > 0 { // otherwise the caller disconnected or gave up before the engine answered
-		en.consecutiveFailures, en.ejectionDuration = 0, 0
+	if outcome.Completed || outcome.TimeToFirstToken > 0 { // otherwise the caller disconnected or gave up before the engine answered
+		en.consecutiveUnreachable, en.consecutiveFailures, en.ejectionDuration = 0, 0, 0
 	}
 	en.recordLatency(now, jo, outcome)
 }
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -470,6 +470,48 @@
 	}
 }
 
+// TestAnswerWithoutTokensClearsFailures guards against sound engines that are ejected for
+// longer and longer because their answers have no first token that the host can see.
+func TestAnswerWithoutTokensClearsFailures(t *testing.T) {
+	sc := schedule.New()
+	sc.SetEngines(engines(3, 4))
+	number := 0
+	for range 6 {
+		sc.Done(epoch, startOn(t, sc, "e0", &number), mp.Outcome{Failed: true})
+		sc.Done(epoch, startOn(t, sc, "e0", &number), mp.Outcome{Completed: true})
+	}
+	for _, en := range sc.Engines(epoch) {
+		require.False(t, en.Ejected, en.ID)
+	}
+}
+
+// TestCancelledAttemptDoesNotEndBackoff guards against an unreachable engine that is tried
+// again and again because callers disconnect while the host connects to it.
+func TestCancelledAttemptDoesNotEndBackoff(t *testing.T) {
+	backoffAfter := func(cancelled bool) time.Duration {
+		sc := schedule.New()
+		sc.SetEngines(engines(1, 4))
+		now := epoch
+		for number := range 4 {
+			require.Equal(t, mp.ActionStart, sc.Submit(now, request(number, 0)).Action)
+			sc.Done(now, request(number, 0).ID, mp.Outcome{Failed: true, Unreachable: true})
+			now = now.Add(time.Minute)
+			if cancelled {
+				require.Equal(t, mp.ActionStart, sc.Submit(now, request(100+number, 0)).Action)
+				sc.Done(now, request(100+number, 0).ID, mp.Outcome{})
+			}
+		}
+		require.Equal(t, mp.ActionStart, sc.Submit(now, request(50, 0)).Action)
+		sc.Done(now, request(50, 0).ID, mp.Outcome{Failed: true, Unreachable: true})
+		backoff := time.Duration(0)
+		for sc.Engines(now.Add(backoff))[0].Ejected {
+			backoff += 100 * time.Millisecond
+		}
+		return backoff
+	}
+	require.Equal(t, backoffAfter(false), backoffAfter(true))
+}
+
 // TestLongAnswersOfOneModelDontUseUpTheShareForAnother guards against a class whose
 // requests to a model with short answers count as above its maximum rate, because they are
 // estimated by the answers of another model.
--- a/scheduler.go
+++ b/scheduler.go
@@ -72,6 +72,9 @@
 	// TimeToFirstToken is the time from the start of the attempt to its first token;
 	// zero if there was none.
 	TimeToFirstToken time.Duration
+	// Completed reports that the engine gave a whole answer, which may be without tokens, or
+	// refused the request as invalid.
+	Completed bool
 	// MeanTimeBetweenTokens is zero if unknown.
 	MeanTimeBetweenTokens time.Duration
 	// Failed reports that the attempt failed because of the engine, which refused or
