--- a/admission/queue.go
+++ b/admission/queue.go
@@ -19,7 +19,10 @@
 	// second. A weight below 1 counts as 1.
 	Weight float64
 
-	finishTag float64 // virtual finish time of the last request pushed
+	// finishTag is the virtual finish time of the last request pushed. It serves the queue
+	// within the promised rate and the one above it: what a class has waiting within its
+	// promise counts against its requests above it.
+	finishTag float64
 }
 
 // Item is one waiting request.
