--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -56,29 +56,25 @@
 	class        mp.ClassName
 }
 
-// flow is the state of one organisation's class.
+// flow is the state of one organisation's class: its rate limits and its position in the
+// fair queue.
 type flow struct {
 	promisedBucket share.Bucket // separates requests within the promised rate from those above it
 	maxBucket      share.Bucket // limits requests to the maximum rate
-	active         int          // requests waiting or running
-	models         map[mp.ModelID]*modelFlow
+	fairFlow       admission.Flow
+	active         int // requests waiting or running
+	// answerLengths holds the lengths of the class's answers by model.
+	answerLengths map[mp.ModelID]*estimate.LengthHistogram
 }
 
-// modelFlow is the state of one organisation's class at one model, which has a queue of
-// its own.
-type modelFlow struct {
-	answerLengths *estimate.LengthHistogram
-	fairFlow      admission.Flow
-}
-
-// model returns the state of the class at a model, and creates it if it does not exist.
-func (fl *flow) model(id mp.ModelID, mg *modelGroup) *modelFlow {
-	mf, ok := fl.models[id]
+// lengthsOf returns the class's answer lengths at a model.
+func (fl *flow) lengthsOf(model mp.ModelID, mg *modelGroup) *estimate.LengthHistogram {
+	lengths, ok := fl.answerLengths[model]
 	if !ok {
-		mf = &modelFlow{answerLengths: estimate.New(mg.answerLengths)}
-		fl.models[id] = mf
+		lengths = estimate.New(mg.answerLengths)
+		fl.answerLengths[model] = lengths
 	}
-	return mf
+	return lengths
 }
 
 // job is a request that is waiting or running.
@@ -170,7 +166,7 @@
 	key := flowKey{organisation: rq.Organisation, class: rq.Class}
 	fl, ok := sc.flows[key]
 	if !ok {
-		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), models: map[mp.ModelID]*modelFlow{}}
+		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), answerLengths: map[mp.ModelID]*estimate.LengthHistogram{}}
 		sc.flows[key] = fl
 	}
 	if fl.promisedBucket.Rate() != rq.PromisedRate || fl.maxBucket.Rate() != rq.MaxRate {
@@ -178,6 +174,7 @@
 		fl.promisedBucket.SetRate(rq.PromisedRate)
 		fl.maxBucket.SetRate(rq.MaxRate)
 	}
+	fl.fairFlow.Weight = float64(rq.PromisedRate)
 	return fl
 }
 
@@ -194,7 +191,7 @@
 	if rq.MaxConcurrency > 0 && fl.active >= rq.MaxConcurrency {
 		return refuse(mp.KindShareExceeded, 0)
 	}
-	cost := estimateCost(&rq, fl.model(rq.Model, mg).answerLengths)
+	cost := estimateCost(&rq, fl.lengthsOf(rq.Model, mg))
 	promised := fl.promisedBucket.HasCredit(now)
 	if rq.MaxRate > 0 && !fl.maxBucket.HasCredit(now) {
 		return sc.bestEffort(now, mg, rq, fl, cost)
@@ -246,15 +243,13 @@
 	if expected > rq.MaxWait || mg.queue.Len() >= maxQueueDepth {
 		return refuse(mp.KindOverloaded, expected-rq.MaxWait)
 	}
-	fairFlow := &fl.model(rq.Model, mg).fairFlow
-	fairFlow.Weight = float64(rq.PromisedRate)
 	jo := sc.admit(rq, fl, cost, promised)
 	jo.item = admission.Item{
 		ID:       rq.ID,
 		Tier:     rq.Tier,
 		Promised: promised,
 		Cost:     cost,
-		Flow:     fairFlow,
+		Flow:     &fl.fairFlow,
 		Deadline: now.Add(rq.MaxWait),
 	}
 	mg.queue.Push(&jo.item)
