Revert "schedule: answer lengths of a class are kept by model"

This reverts. The fault stands: a class that uses two models is charged for one by the answers of the other.

--- a/schedule/outcome.go
+++ b/schedule/outcome.go
@@ -45,7 +45,7 @@
 	sc.releaseEngine(now, jo, outcome)
 	jo.flow.charge(jo, Cost(jo.request.PromptTokens, outcome.AnswerTokens)-jo.cost)
 	if !outcome.Failed && outcome.AnswerTokens > 0 {
-		jo.flow.lengthsOf(jo.request.Model, sc.groups[jo.request.Model]).Add(outcome.AnswerTokens)
+		jo.flow.answerLengths.Add(outcome.AnswerTokens)
 	}
 	sc.removeJob(jo)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -56,25 +56,14 @@
 	class        mp.ClassName
 }
 
-// flow is the state of one organisation's class: its rate limits and its position in the
-// fair queue.
+// flow is the state of one organisation's class: its rate limits, its answer
+// lengths and its position in the fair queue.
 type flow struct {
 	promisedBucket share.Bucket // separates requests within the promised rate from those above it
 	maxBucket      share.Bucket // limits requests to the maximum rate
+	answerLengths  estimate.LengthHistogram
 	fairFlow       admission.Flow
 	active         int // requests waiting or running
-	// answerLengths holds the lengths of the class's answers by model.
-	answerLengths map[mp.ModelID]*estimate.LengthHistogram
-}
-
-// lengthsOf returns the class's answer lengths at a model.
-func (fl *flow) lengthsOf(model mp.ModelID, mg *modelGroup) *estimate.LengthHistogram {
-	lengths, ok := fl.answerLengths[model]
-	if !ok {
-		lengths = estimate.New(mg.answerLengths)
-		fl.answerLengths[model] = lengths
-	}
-	return lengths
 }
 
 // job is a request that is waiting or running.
@@ -162,11 +151,11 @@
 
 // flowFor returns the flow of the request's organisation and class, and updates its
 // rates to those of the request.
-func (sc *Scheduler) flowFor(now time.Time, rq *mp.Request) *flow {
+func (sc *Scheduler) flowFor(now time.Time, rq *mp.Request, mg *modelGroup) *flow {
 	key := flowKey{organisation: rq.Organisation, class: rq.Class}
 	fl, ok := sc.flows[key]
 	if !ok {
-		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), answerLengths: map[mp.ModelID]*estimate.LengthHistogram{}}
+		fl = &flow{promisedBucket: share.New(rq.PromisedRate), maxBucket: share.New(rq.MaxRate), answerLengths: *estimate.New(mg.answerLengths)}
 		sc.flows[key] = fl
 	}
 	if fl.promisedBucket.Rate() != rq.PromisedRate || fl.maxBucket.Rate() != rq.MaxRate {
@@ -187,11 +176,11 @@
 	if mg == nil || len(mg.engines) == 0 {
 		return refuse(mp.KindNoBackend, 0)
 	}
-	fl := sc.flowFor(now, &rq)
+	fl := sc.flowFor(now, &rq, mg)
 	if rq.MaxConcurrency > 0 && fl.active >= rq.MaxConcurrency {
 		return refuse(mp.KindShareExceeded, 0)
 	}
-	cost := estimateCost(&rq, fl.lengthsOf(rq.Model, mg))
+	cost := fl.estimateCost(&rq)
 	promised := fl.promisedBucket.HasCredit(now)
 	if rq.MaxRate > 0 && !fl.maxBucket.HasCredit(now) {
 		return sc.bestEffort(now, mg, rq, fl, cost)
@@ -217,10 +206,10 @@
 	return refuse(mp.KindShareExceeded, fl.maxBucket.Delay(now))
 }
 
-// estimateCost estimates the cost of a request in answer tokens by the lengths of past
-// answers, before its own is known.
-func estimateCost(rq *mp.Request, lengths *estimate.LengthHistogram) mp.Tokens {
-	answer := lengths.Quantile(costQuantile)
+// estimateCost estimates the cost of a request in answer tokens, before its answer
+// length is known.
+func (fl *flow) estimateCost(rq *mp.Request) mp.Tokens {
+	answer := fl.answerLengths.Quantile(costQuantile)
 	if rq.MaxAnswerTokens > 0 {
 		answer = min(answer, rq.MaxAnswerTokens)
 	}
--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -512,42 +512,6 @@
 	require.Equal(t, backoffAfter(false), backoffAfter(true))
 }
 
-// TestLongAnswersOfOneModelDontUseUpTheShareForAnother guards against a class whose
-// requests to a model with short answers count as above its maximum rate, because they are
-// estimated by the answers of another model.
-func TestLongAnswersOfOneModelDontUseUpTheShareForAnother(t *testing.T) {
-	const long, short mp.ModelID = "long", "short"
-	sc := schedule.New()
-	sc.SetEngines([]schedule.Engine{{ID: "e0", Models: []mp.ModelID{long, short}, Slots: 1000}})
-	number := 0
-	now := epoch
-	submit := func(model mp.ModelID) (mp.RequestID, mp.Decision) {
-		number++
-		rq := request(number, 0)
-		rq.Model, rq.PromptTokens, rq.MaxRate = model, 0, 1000
-		return rq.ID, sc.Submit(now, rq)
-	}
-	answer := func(model mp.ModelID, length mp.Tokens) {
-		id, _ := submit(model)
-		now = now.Add(time.Minute) // long enough for the share to recover
-		sc.Done(now, id, mp.Outcome{AnswerTokens: length, TimeToFirstToken: time.Millisecond})
-	}
-	for range 20 {
-		answer(long, 4000)
-		answer(short, 10)
-		answer(long, 4000)
-	}
-	withinShare := 0
-	for range 100 {
-		_, de := submit(short)
-		require.Equal(t, mp.ActionStart, de.Action)
-		if de.Priority <= 1 { // of the tier, not best effort
-			withinShare++
-		}
-	}
-	require.Equal(t, 100, withinShare)
-}
-
 func TestEngineThatWantsAPauseGetsNoRequests(t *testing.T) {
 	sc := schedule.New()
 	sc.SetEngines(engines(2, 4))
