gateway: no server that would begin too late is asked because another one is silent

Cause: until the first event, a server is silent to this host also while the prompt waits in its queue. Before, the attempt was taken out of that queue when another server was asked; since a silent server is kept, two engines read the prompt, and when all are busy the second one is late as well. The limit on lateness didn't hold for repeats, because a request that may have run couldn't be refused any more. With the silent server kept, it can wait.

Fix: as long as the caller has no part of the answer, another server is asked only if it is expected to begin in time. A stream that has begun still goes to any. The retry budget is charged only when a server to ask has been found.

TestSilentServerIsKeptIfOthersWouldBeginTooLate on the code before: expected: 2 actual : 3 (requests that reached servers)

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,17 +46,26 @@
 	err        error
 }
 
-// selectServer chooses the backend server for the next attempt, and records the start
-// of the attempt with the placer. It returns an error if no server is available, or if
-// the response is expected to start too late and no server can have run the request
-// yet.
+// selectServer chooses the backend server for the next attempt, and records and logs the
+// start of the attempt. It returns an error if there is none, as chooseServer does.
 func (ga *Gateway) selectServer(re *request) (placement.Choice, *mp.Error) {
+	ch, refusal := ga.chooseServer(re, re.mayHaveRun)
+	if refusal == nil {
+		ga.logPlacement(re, ch)
+	}
+	return ch, refusal
+}
+
+// chooseServer chooses the backend server for an attempt, and records the start of the
+// attempt with the placer. It returns an error if no server is available, or if
+// the response is expected to start too late and that matters.
+func (ga *Gateway) chooseServer(re *request, mayBeLate bool) (placement.Choice, *mp.Error) {
 	now := ga.clock.Now()
 	placementRequest := re.placementRequest(now, ga.workloadsOf(re.snapshot.Table).byService[re.service])
 	ga.placerMu.Lock()
 	ch, ok := ga.placer.Choose(now, placementRequest)
 	late := ch.Lateness(placementRequest)
-	if ok && (late <= 0 || re.mayHaveRun) {
+	if ok && (late <= 0 || mayBeLate) {
 		ga.placer.RecordStart(ch)
 	}
 	ga.placerMu.Unlock()
@@ -65,21 +74,21 @@
 		refusal.RetryAfter = noBackendRetryAfter
 		return ch, refusal
 	}
-	if late > 0 && !re.mayHaveRun {
+	if late > 0 && !mayBeLate {
 		refusal := mp.NewError(mp.KindOverloaded, "expected to begin in %v at %q behind %v of other prompts, %v in the mean, %v too late",
 			ch.ExpectedLatency, ch.Server.ID, ch.QueueWait, ch.MeanQueueWait, late)
 		refusal.RetryAfter = re.retryAfter(now, late)
 		return ch, refusal
 	}
-	ga.logPlacement(re, ch, now, placementRequest.Priority)
 	return ch, nil
 }
 
 // logPlacement logs the choice of a backend server with what it was based on.
-func (ga *Gateway) logPlacement(re *request, ch placement.Choice, now time.Time, priority int) {
+func (ga *Gateway) logPlacement(re *request, ch placement.Choice) {
+	now := ga.clock.Now()
 	line := re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
 		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.PrefixCached).
-		Int("priority", priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.PrefillTokens)).Dur("expected_ms", ch.ExpectedLatency).
+		Int("priority", re.rank.Priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.PrefillTokens)).Dur("expected_ms", ch.ExpectedLatency).
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", now.Sub(ga.view.Load().ListConfirmedAt)).
 		Dur("left_ms", re.remaining(now))
 	if re.headers.LastEventID != "" {
@@ -380,6 +389,20 @@
 
 // retryRefusal returns the reason not to retry a failed attempt, or nil.
 func (ga *Gateway) retryRefusal(ctx context.Context, re *request, res result) *mp.Error {
+	refusal := ga.repeatRefusal(ctx, re, res)
+	if refusal == nil && re.attempts > 0 && !ga.withdrawRetry(re) {
+		return errBudgetSpent(res)
+	}
+	return refusal
+}
+
+// errBudgetSpent returns the refusal of a retry by the retry budget.
+func errBudgetSpent(res result) *mp.Error {
+	return mp.NewError(mp.KindOverloaded, "the retry budget is spent: %v", res.err)
+}
+
+// repeatRefusal is retryRefusal without the retry budget.
+func (ga *Gateway) repeatRefusal(ctx context.Context, re *request, res result) *mp.Error {
 	switch {
 	case ctx.Err() == context.DeadlineExceeded:
 		return mp.NewError(mp.KindWaitExpired, "no answer in time: %v", res.err)
@@ -393,8 +416,6 @@
 		return mp.NewError(mp.KindOverloaded, "%d attempts: %v", re.attempts, res.err)
 	case len(re.tried) >= maxServersTried:
 		return mp.NewError(mp.KindNoBackend, "%d servers tried: %v", len(re.tried), res.err)
-	case re.attempts > 0 && !ga.withdrawRetry(re):
-		return mp.NewError(mp.KindOverloaded, "the retry budget is spent: %v", res.err)
 	}
 	return nil
 }
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -210,18 +210,10 @@
 // one takes over, the silent server goes on or no other one may be asked. The caller must
 // hold mu, which is released meanwhile.
 func (he *hedge) challenge(silence time.Duration) {
-	re := he.re
-	re.mayHaveRun = true
-	re.exclude(he.at.choice.Server.ID)
+	he.re.exclude(he.at.choice.Server.ID)
 	res := result{mayHaveRun: true, err: errSilent}
-	for refused := he.ga.retryRefusal(he.ctx, re, res); ; refused = he.ga.retryRefusal(he.ctx, re, res) {
-		if refused == nil {
-			refused = he.ga.quarantineRefusal(re)
-		}
-		var ch placement.Choice
-		if refused == nil {
-			ch, refused = he.ga.selectServer(re)
-		}
+	for {
+		ch, refused := he.chooseOther(res)
 		he.logSilence(silence, ch, refused)
 		if refused != nil {
 			return
@@ -234,6 +226,32 @@
 	}
 }
 
+// chooseOther chooses another server after a result, or returns the reason not to ask any.
+// One that would begin too late is asked only if the caller has a part of the answer, because
+// the silent server is kept.
+func (he *hedge) chooseOther(res result) (placement.Choice, *mp.Error) {
+	ga, re := he.ga, he.re
+	refused := ga.repeatRefusal(he.ctx, re, res)
+	if refused == nil {
+		refused = ga.quarantineRefusal(re)
+	}
+	if refused != nil {
+		return placement.Choice{}, refused
+	}
+	ch, refused := ga.chooseServer(re, re.hasBegun())
+	if refused != nil {
+		return ch, refused
+	}
+	if !ga.withdrawRetry(re) {
+		ga.placerMu.Lock()
+		ga.placer.RecordEnd(ga.clock.Now(), ch, false, placement.Cancelled)
+		ga.placerMu.Unlock()
+		return ch, errBudgetSpent(res)
+	}
+	ga.logPlacement(re, ch)
+	return ch, nil
+}
+
 // logSilence logs the decision on a silent server; that no other one may be asked only when
 // the reason changes.
 func (he *hedge) logSilence(silence time.Duration, ch placement.Choice, refused *mp.Error) {
@@ -263,6 +281,7 @@
 	at := &attempt{choice: ch, startedAt: ga.clock.Now(), cancel: cancel}
 	rq := re.backendRequest(ch, at.startedAt)
 	re.attempts++
+	re.mayHaveRun = true // also at the silent server
 	he.contest.Enter(at)
 	he.mu.Unlock()
 	res := ga.connect(ctx, re, at)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -279,3 +279,32 @@
 	close(answered)
 	require.Equal(t, "own r-2", (<-second).body)
 }
+
+// TestSilentServerIsKeptIfOthersWouldBeginTooLate guards against requests that engines read
+// twice in vain when all are busy.
+func TestSilentServerIsKeptIfOthersWouldBeginTooLate(t *testing.T) {
+	answered, busy := make(chan struct{}), make(chan struct{})
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		if rq.ID == "r-long" {
+			close(busy)
+			<-answered
+		} else {
+			time.Sleep(2 * soundSilence)
+		}
+		co.BeginStream(rq)
+		co.WriteEvent(1)
+		co.EndStream()
+		return true
+	}
+	servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler)}
+	fx := newFixture(t, nil, servers)
+	long := make(chan clientResponse, 1)
+	go func() { long <- fx.post(resumablePath, "r-long", "prompt", "Token-Usage: 200000,10") }()
+	<-busy
+	got := fx.post(resumablePath, "r-1", "prompt", "Token-Usage: 100,10")
+	close(answered)
+	require.Equal(t, "id: 1\ndata: piece 1\n\n", got.body)
+	require.Equal(t, "id: 1\ndata: piece 1\n\n", (<-long).body)
+	require.Equal(t, 2, requestCount(servers...))
+	require.Equal(t, "overloaded", fx.logs.RequestEvents("r-1")["server_silent"]["outcome"])
+}
