soak: a store that comes back from an older copy, and a check of leaving servers

The store loses what was written in the last 0.3 to 3 s, entries of servers mostly; they and the operator write once again, and 3 s later a server leaves. No server may receive a request 5 s after it began to leave: 3 s, 0.7 s for the machine and 1.3 s by which silence delays what was sent in time.

--- a/soak/backends.go
+++ b/soak/backends.go
@@ -26,15 +26,29 @@
 	mu        sync.Mutex
 	receivers map[string][]*backend
 	executed  map[string]int
+	late      []lateRequest
+}
+
+// lateRequest is a request that a server received although it had begun to leave long ago.
+type lateRequest struct {
+	id, server   string
+	receiver     *backend
+	at           time.Time
+	sinceLeaving time.Duration
 }
 
 func newRequestCounts() *requestCounts {
 	return &requestCounts{receivers: map[string][]*backend{}, executed: map[string]int{}}
 }
 
-func (rc *requestCounts) record(id string, receiver *backend, executed bool) {
+func (rc *requestCounts) record(rq fakeserver.Request, receiver *backend, executed bool) {
+	id, server := rq.ID, rq.ExpectedServer()
+	sinceLeaving := receiver.registry.sinceLeaving(server)
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	if sinceLeaving > maxConfigDelay+maxSilence+timingTolerance { // silence delays what was sent in time
+		rc.late = append(rc.late, lateRequest{id: id, server: server, receiver: receiver, at: time.Now(), sinceLeaving: sinceLeaving})
+	}
 	rc.receivers[id] = append(rc.receivers[id], receiver)
 	if executed {
 		rc.executed[id]++
@@ -89,6 +103,7 @@
 	engine        bool
 	proxy         *Proxy
 	requestCounts *requestCounts
+	registry      *serverRegistry
 
 	mu          sync.Mutex
 	failureMode failureMode
@@ -96,8 +111,8 @@
 
 // newBackend starts a backend server and its proxy, and returns it with a
 // function that stops both. With engine set it serves streams.
-func newBackend(id, service string, engine bool, rc *requestCounts) (*backend, func(), error) {
-	ba := &backend{id: id, service: service, engine: engine, requestCounts: rc}
+func newBackend(id, service string, engine bool, rc *requestCounts, sr *serverRegistry) (*backend, func(), error) {
+	ba := &backend{id: id, service: service, engine: engine, requestCounts: rc, registry: sr}
 	handler := ba.respond
 	if engine {
 		handler = ba.stream
@@ -135,7 +150,7 @@
 
 func (ba *backend) respond(co *fakeserver.Conn, rq fakeserver.Request) bool {
 	mode := ba.currentFailureMode()
-	ba.requestCounts.record(rq.ID, ba, mode != rejecting)
+	ba.requestCounts.record(rq, ba, mode != rejecting)
 	time.Sleep(responseDelay)
 	switch mode {
 	case rejecting:
@@ -157,7 +172,7 @@
 
 func (ba *backend) stream(co *fakeserver.Conn, rq fakeserver.Request) bool {
 	mode := ba.currentFailureMode()
-	ba.requestCounts.record(rq.ID, ba, mode != rejecting)
+	ba.requestCounts.record(rq, ba, mode != rejecting)
 	switch mode {
 	case rejecting:
 		co.Reject(rq)
--- a/soak/check.go
+++ b/soak/check.go
@@ -27,12 +27,26 @@
 		fi.checkLostRequest(ou)
 		fi.checkBrokenResponse(ou)
 	}
+	fi.checkLateRequests()
 	requests, retries := fi.deployment.requestCounts.totals()
 	if allowed := retryRatio*float64(requests) + retrySlack; float64(retries) > allowed {
 		fi.reportViolation("%d retries of %d requests; the limit is %.0f", retries, requests, allowed)
 	}
 }
 
+// checkLateRequests reports requests that reached a backend server long after it had begun
+// to leave, unless the store was disrupted or the server's connections were delayed.
+func (fi *faultInjector) checkLateRequests() {
+	for _, la := range fi.deployment.requestCounts.late {
+		delayed := slices.ContainsFunc(fi.faults, func(fa fault) bool {
+			return fa.breaksResponsesOf == la.receiver && fa.overlaps(la.at.Add(-maxConfigDelay), la.at)
+		})
+		if !delayed && !fi.storeDisrupted(la.at.Add(-la.sinceLeaving), la.at) {
+			fi.reportViolation("server %s received request %s %v after it had begun to leave", la.server, la.id, la.sinceLeaving)
+		}
+	}
+}
+
 // atMostOnce reports whether requests with a path must not be executed more
 // than once.
 func atMostOnce(path string) bool {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -134,6 +134,7 @@
 	faultConfiguration = "configuration changed"
 	faultPlannedWork   = "planned work"
 	faultReload        = "reload"
+	faultStoreRestored = "store restored"
 )
 
 // stopSignals are the signals by which a fault stops a host.
@@ -143,7 +144,7 @@
 func Kinds() []string {
 	return []string{
 		faultKill, faultStop, faultPause, faultFront, faultStoreOfHost, faultStoreDown, faultBackendLink, faultBackend, faultReplacement,
-		faultDroppedConns, faultKeyRevoked, faultSilence, faultSilentService, faultConfiguration, faultPlannedWork, faultReload,
+		faultDroppedConns, faultKeyRevoked, faultSilence, faultSilentService, faultConfiguration, faultPlannedWork, faultReload, faultStoreRestored,
 	}
 }
 
@@ -174,23 +175,25 @@
 		return func() { fi.setMode(fault{kind: kind, breaksResponsesOf: ba}, ba.proxy, proxyMode, duration) }
 	case faultBackend:
 		return func() { fi.failBackend(ba, backendFailure, duration) }
+	case faultStoreRestored:
+		return func() { fi.restoreStore(ba, duration, silence) }
 	case faultReplacement:
 		return func() { fi.replaceBackend(ba) }
-	case faultDroppedConns:
-		return func() { fi.recordWhile(fault{kind: kind}, ba.proxy.DropConnections) }
-	case faultKeyRevoked:
-		return func() { fi.recordWhile(fault{kind: kind}, fi.rotateAPIKey) }
 	case faultSilence:
 		return func() { fi.silence(kind, []*backend{ba}, silence) }
 	case faultSilentService:
 		return func() { fi.silence(kind, fi.deployment.backendsOf(ba.service), silence) }
-	case faultConfiguration:
-		return func() { fi.recordWhile(fault{kind: kind}, func() { fi.changeConfiguration(steps) }) }
 	case faultPlannedWork:
 		hosts := []*host{ho, pick(random, fi.deployment.hosts)}
 		return func() { fi.planWork(hosts, steps, duration/3) }
 	default:
-		return func() { fi.recordWhile(fault{kind: faultReload}, func() { fi.reload(ho, signalled) }) }
+		run := map[string]func(){
+			faultDroppedConns:  ba.proxy.DropConnections,
+			faultKeyRevoked:    fi.rotateAPIKey,
+			faultConfiguration: func() { fi.changeConfiguration(steps) },
+			faultReload:        func() { fi.reload(ho, signalled) },
+		}[kind]
+		return func() { fi.recordWhile(fault{kind: kind}, run) }
 	}
 }
 
@@ -256,6 +259,30 @@
 	})
 }
 
+// heartbeatInterval is the time between two writes of a server's entry before the store is
+// restored. What is written again afterwards is much less than what was lost.
+const heartbeatInterval = 50 * time.Millisecond
+
+// restoreStore lets the store come back from a copy of some time ago. The operator and the
+// servers write again what it has lost. A server leaves as soon as hosts have to notice it.
+func (fi *faultInjector) restoreStore(ba *backend, age, downtime time.Duration) {
+	state := fi.deployment.store.Snapshot()
+	for copied := time.Now(); time.Since(copied) < age; time.Sleep(heartbeatInterval) {
+		fi.deployment.registry.beat()
+	}
+	fi.recordWhile(fault{kind: faultStoreRestored, disruptsStore: true}, func() {
+		fi.deployment.store.SetErrorStatus(http.StatusServiceUnavailable)
+		time.Sleep(downtime)
+		fi.mu.Lock()
+		defer fi.mu.Unlock()
+		fi.deployment.registry.restore(state)
+		fi.deployment.store.PutConfiguration(fi.configVersion, fi.config.apply)
+		fi.deployment.store.SetErrorStatus(0)
+	})
+	time.Sleep(maxConfigDelay)
+	fi.replaceBackend(ba)
+}
+
 func (fi *faultInjector) failBackend(ba *backend, mode failureMode, duration time.Duration) {
 	fa := fault{kind: faultBackend}
 	if mode.breaksResponses() {
@@ -302,11 +329,11 @@
 	next := ba.id
 	fi.mu.Unlock()
 	fi.recordWhile(fault{kind: faultReplacement}, func() {
-		fi.deployment.store.PutServer(old, ba.service, ba.proxy.Address(), "draining")
+		fi.deployment.registry.put(ba, old, "draining")
 		time.Sleep(time.Second)
-		fi.deployment.store.DeleteServer(old)
+		fi.deployment.registry.put(ba, old, "")
 		time.Sleep(time.Second)
-		fi.deployment.store.PutServer(next, ba.service, ba.proxy.Address(), "ready")
+		fi.deployment.registry.put(ba, next, "ready")
 	})
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,6 +12,7 @@
 //     delay of a configuration change.
 //   - A route of the configuration is served, and a removed one is not, within that
 //     delay.
+//   - A backend server that leaves gets no more requests after that delay.
 //   - After the last fault, requests to every host succeed again.
 //
 // Package replay, in contrast, simulates faults in virtual time.
@@ -79,6 +80,7 @@
 // deployment holds everything that runs during a soak run.
 type deployment struct {
 	store         *fakestore.Store
+	registry      *serverRegistry
 	requestCounts *requestCounts
 	backends      []*backend
 	hosts         []*host
@@ -118,7 +120,8 @@
 // It returns an error if the deployment can't be started; violated guarantees are
 // in the report.
 func Run(ctx context.Context, plan Plan) (Report, error) {
-	de := &deployment{store: fakestore.New(), requestCounts: newRequestCounts()}
+	store := fakestore.New()
+	de := &deployment{store: store, registry: newServerRegistry(store), requestCounts: newRequestCounts()}
 	defer de.close()
 	if err := de.start(plan); err != nil {
 		return Report{}, errors.Trace(err)
@@ -170,13 +173,13 @@
 	de.store.PutConfiguration(1, initialConfig().apply)
 	for _, service := range []string{fakestore.AppService, fakestore.EngineService} {
 		for ix := range serversPerService {
-			ba, stop, err := newBackend(fmt.Sprintf("%s-%d", service, ix), service, service == fakestore.EngineService, de.requestCounts)
+			ba, stop, err := newBackend(fmt.Sprintf("%s-%d", service, ix), service, service == fakestore.EngineService, de.requestCounts, de.registry)
 			if err != nil {
 				return errors.Trace(err)
 			}
 			de.cleanups = append(de.cleanups, stop)
 			de.backends = append(de.backends, ba)
-			de.store.PutServer(ba.id, service, ba.proxy.Address(), "ready")
+			de.registry.put(ba, ba.id, "ready")
 		}
 	}
 	var seeds []string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,18 @@
 	require.Empty(t, report.Violations)
 }
 
+// TestRestoredStoreHidesNoLeavingServer guards against requests to servers that leave after
+// the store has come back from an older copy.
+func TestRestoredStoreHidesNoLeavingServer(t *testing.T) {
+	report, err := soak.Run(t.Context(), soak.Plan{
+		Binary: buildBinary(t), Directory: t.TempDir(), Seed: 1, Kinds: []string{"store restored"},
+		FaultDuration: 4 * time.Second, Hosts: 2, Callers: 12,
+	})
+	require.NoError(t, err)
+	require.Positive(t, report.CompleteResponses)
+	require.Empty(t, report.Violations)
+}
+
 // buildBinary builds the program under test and returns its path.
 func buildBinary(t *testing.T) string {
 	t.Helper()
