gateway: a failure of one server doesn't end the wait for another one that works

What callers saw: a request whose server was silent got a 500 or 503 although a sound server was about to answer it. Either the silent server failed at last and the other one, which had been asked, was left; or the other one failed at once and its failure went to the caller in place of the silent one's answer.

Cause: any whole answer of the silent server counted as going on, and any signed one of the other server as taking over, before its status was looked at.

Change: a failure (5xx) of the silent server is a failed attempt that waits for the other ones; one of the other server is a failed attempt there, and the silent server stays. What an engine refuses about the request itself (4xx) still goes to the caller.

TestFailureOfOneServerDoesNotEndTheWaitForAnother failed before in six of six cases ("500 failed", "503 failed").

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,7 +49,7 @@
 // selectServer chooses the backend server for the next attempt, and records and logs the
 // start of the attempt. It returns an error if there is none, as chooseServer does.
 func (ga *Gateway) selectServer(re *request) (placement.Choice, *mp.Error) {
-	ch, refusal := ga.chooseServer(re, re.mayHaveRun)
+	ch, refusal := ga.chooseServer(re, ga.placementRequest(re), re.mayHaveRun)
 	if refusal == nil {
 		ga.logPlacement(re, ch)
 	}
@@ -59,9 +59,8 @@
 // chooseServer chooses the backend server for an attempt, and records the start of the
 // attempt with the placer. It returns an error if no server is available, or if
 // the response is expected to start too late and that matters.
-func (ga *Gateway) chooseServer(re *request, mayBeLate bool) (placement.Choice, *mp.Error) {
+func (ga *Gateway) chooseServer(re *request, placementRequest *placement.Request, mayBeLate bool) (placement.Choice, *mp.Error) {
 	now := ga.clock.Now()
-	placementRequest := re.placementRequest(now, ga.workloadsOf(re.snapshot.Table).byService[re.service])
 	ga.placerMu.Lock()
 	ch, ok := ga.placer.Choose(now, placementRequest)
 	late := ch.Lateness(placementRequest)
@@ -81,6 +80,11 @@
 	return ch, nil
 }
 
+// placementRequest returns the properties of a request that placement needs.
+func (ga *Gateway) placementRequest(re *request) *placement.Request {
+	return re.placementRequest(ga.clock.Now(), ga.workloadsOf(re.snapshot.Table).byService[re.service])
+}
+
 // logPlacement logs the choice of a backend server with what it was based on.
 func (ga *Gateway) logPlacement(re *request, ch placement.Choice) {
 	now := ga.clock.Now()
@@ -323,8 +327,8 @@
 	if !re.hedge.acquire() {
 		return takenOver()
 	}
-	re.hedge.goOn()
 	if len(body) > maxBufferedBytes {
+		re.hedge.goOn()
 		return ga.relayUnbuffered(re, ch, ex, body)
 	}
 	recordFirstEvent()
@@ -340,6 +344,7 @@
 		re.lastFailure = response
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered with status %d", response.status)}
 	}
+	re.hedge.goOn()
 	ga.writeResponse(re, response)
 	return result{done: true, outcome: placement.Succeeded, mayHaveRun: true}
 }
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -237,7 +238,8 @@
 	if refused != nil {
 		return placement.Choice{}, refused
 	}
-	ch, refused := ga.chooseServer(re, re.hasBegun())
+	placementRequest := ga.placementRequest(re)
+	ch, refused := ga.chooseServer(re, placementRequest, re.hasBegun())
 	if refused != nil {
 		return ch, refused
 	}
@@ -315,10 +317,12 @@
 }
 
 // mayTakeOver reports whether the response of another server than the silent one can be
-// the caller's: a stream that has begun can only go on as a stream.
+// the caller's: a stream that has begun can only go on as a stream, and the silent server
+// may still do better than a failure.
 func (re *request) mayTakeOver(at *attempt) bool {
-	return !at.headers.NotExecuted && at.headers.Signed &&
-		(re.stream == nil || re.stream.isContinuedBy(at.exchange.Response))
+	response := at.exchange.Response
+	return !at.headers.NotExecuted && at.headers.Signed && response.StatusCode < http.StatusInternalServerError &&
+		(re.stream == nil || re.stream.isContinuedBy(response))
 }
 
 // rejection returns the result of an attempt whose response can't be the caller's.
@@ -332,6 +336,6 @@
 	case !at.headers.Signed:
 		return &result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("answer with status %d without a signature", status)}
 	default:
-		return &result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered a resumed stream with status %d", status)}
+		return &result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered with status %d", status)}
 	}
 }
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -308,3 +308,43 @@
 	require.Equal(t, 2, requestCount(servers...))
 	require.Equal(t, "overloaded", fx.logs.RequestEvents("r-1")["server_silent"]["outcome"])
 }
+
+// TestFailureOfOneServerDoesNotEndTheWaitForAnother guards against a failure that reaches the
+// caller while a sound server is about to answer: that of the silent one or of the other.
+func TestFailureOfOneServerDoesNotEndTheWaitForAnother(t *testing.T) {
+	for name, statuses := range map[string][2]int{ // of the silent server and the other one
+		"the silent server fails": {http.StatusInternalServerError, http.StatusOK},
+		"the other one fails":     {http.StatusOK, http.StatusInternalServerError},
+		"the other one is down":   {http.StatusOK, http.StatusServiceUnavailable},
+	} {
+		for _, path := range []string{idempotentPath, resumablePath} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				asked, failed := make(chan struct{}), make(chan struct{})
+				var calls atomic.Int64
+				handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+					number := calls.Add(1)
+					if number == 2 {
+						close(asked)
+					}
+					<-asked
+					if status := statuses[number-1]; status != http.StatusOK {
+						co.Respond(rq, status, "failed")
+						close(failed)
+						return true
+					}
+					<-failed
+					time.Sleep(200 * time.Millisecond) // the failure comes first
+					co.Respond(rq, http.StatusOK, "data: own\n\n")
+					return true
+				}
+				servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler)}
+				fx := newFixture(t, servers, servers)
+				got := fx.post(path, "r-1", "")
+				require.NoError(t, got.err)
+				require.Equal(t, fmt.Sprint(http.StatusOK, " data: own\n\n"), fmt.Sprint(got.status, " ", got.body))
+				require.Equal(t, int64(2), calls.Load())
+			})
+		}
+	}
+}
