gateway, hedging: an attempt that was given up no longer looks at the request

What could happen: with three or more attempts, a server's header arrives just as another one takes over. The goroutine of the attempt that is given up then read the state of the stream while the caller's goroutine wrote it.

Found by reading; a trial under the race detector (60 streams, three attempts) did not reach it. The contest is asked first now, and says without the request whether the attempt may still take over.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -291,7 +291,7 @@
 	}
 	he.mu.Lock()
 	defer he.changed.Broadcast()
-	if res == nil && !re.mayTakeOver(at) {
+	if res == nil && he.contest.IsEntered(at) && !re.mayTakeOver(at) { // otherwise the request is no longer the hedge's
 		res = at.rejection()
 	}
 	verdict, others := he.contest.Finish(at, res == nil)
--- a/hedging/contest.go
+++ b/hedging/contest.go
@@ -57,6 +57,9 @@
 	co.challengers[challenger] = true
 }
 
+// IsEntered reports whether a challenger may still take over.
+func (co *Contest[A]) IsEntered(challenger A) bool { return co.IsOpen() && co.challengers[challenger] }
+
 // IsChallenged reports whether a challenger may still take over.
 func (co *Contest[A]) IsChallenged() bool { return co.IsOpen() && len(co.challengers) > 0 }
 
@@ -76,10 +79,10 @@
 // Finish returns what becomes of a challenger whose response has begun, or that has failed,
 // and the challengers that are given up because it takes over.
 func (co *Contest[A]) Finish(challenger A, begun bool) (Verdict, []A) {
-	entered := co.challengers[challenger]
+	entered := co.IsEntered(challenger)
 	delete(co.challengers, challenger)
 	switch {
-	case !entered || !co.IsOpen():
+	case !entered:
 		return GivenUp, nil
 	case !begun:
 		return Failed, nil
