gateway, placement: a silent server isn't left for one that is about to stop

Change: a hedge leaves servers that are about to stop out; a retry after a failure may still use one within its grace if there is no other. TestHedgeIsNotSentToAServerThatStops fails without the change ("Should be false"). TestNoticesOfHedgedServersCount shows that what a hedged server says of itself (it stops, it wants a pause) counts like that of others.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -239,6 +239,7 @@
 		return placement.Choice{}, refused
 	}
 	placementRequest := ga.placementRequest(re)
+	placementRequest.NotLeaving = true // the silent server may be sound
 	ch, refused := ga.chooseServer(re, placementRequest, re.hasBegun())
 	if refused != nil {
 		return ch, refused
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -348,3 +348,36 @@
 		}
 	}
 }
+
+// TestNoticesOfHedgedServersCount guards against requests to a server that has said, in
+// answer to a request that another server was silent on, that it stops or wants a pause.
+func TestNoticesOfHedgedServersCount(t *testing.T) {
+	for name, line := range map[string]string{"leaving": "Server-Leaving: 1", "pause": "Retry-After: 60"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			handler := silentOnce(&calls, func() { time.Sleep(soundSilence) }, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				if calls.Load() == 2 {
+					co.Reject(rq, line)
+					return true
+				}
+				co.Respond(rq, http.StatusOK, "data: own\n\n")
+				return true
+			})
+			servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler)}
+			fx := newFixture(t, nil, servers)
+			fx.setResumableRoute("gap_aim_ms", 50)
+			got := fx.post(resumablePath, "r-1", "prompt")
+			require.NoError(t, got.err)
+			noticed := servers[0]
+			if fx.logs.RequestEvents("r-1")["attempt_failed"]["server"] == "engine-1" {
+				noticed = servers[1]
+			}
+			before := requestCount(noticed)
+			for number := range 10 {
+				fx.post(resumablePath, fmt.Sprintf("r-%d", 2+number), "prompt")
+			}
+			require.Equal(t, before, requestCount(noticed))
+		})
+	}
+}
--- a/placement/notice_test.go
+++ b/placement/notice_test.go
@@ -41,6 +41,21 @@
 	require.NotContains(t, servers[:6], ch.Server)
 }
 
+// TestHedgeIsNotSentToAServerThatStops guards against a silent sound server that is left for
+// one that is about to stop.
+func TestHedgeIsNotSentToAServerThatStops(t *testing.T) {
+	pl := placement.New(placement.WithLeavingGrace(leavingGrace))
+	servers := replicas(2)
+	pl.SetServers(servers)
+	require.True(t, pl.RecordLeaving(start, servers[1]))
+	others := &placement.Request{Service: "app", Exclude: []mp.ServerID{servers[0].ID}}
+	_, ok := pl.Choose(start, others)
+	require.True(t, ok, "a retry may go there")
+	others.NotLeaving = true
+	_, ok = pl.Choose(start, others)
+	require.False(t, ok)
+}
+
 // noticeModel is what the servers of the service app have said, by ID and start.
 type noticeModel struct {
 	pl      *placement.Placer
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -50,6 +50,8 @@
 	JitterSensitive bool
 	// Exclude lists servers that the request must not be sent to.
 	Exclude []mp.ServerID
+	// NotLeaving excludes servers that are about to stop even if there are no others.
+	NotLeaving bool
 }
 
 // sharedPrefix returns the length of the shared prefix and its ID, which is
@@ -247,7 +249,7 @@
 		switch {
 		case slices.Contains(rq.Exclude, se.ID) || pl.pauseLeft(now, se) > 0:
 		case pl.isLeaving(se):
-			if pl.maySendToLeaving(now, se) {
+			if !rq.NotLeaving && pl.maySendToLeaving(now, se) {
 				leaving = append(leaving, se)
 			}
 		case se.isAvoided(now):
