gateway, follow: tests of hosts that learn of a restore from others

TestHostWithoutStoreLearnsOfRestoreFromPeers plays two hosts, one of which can't reach the store. TestHostThatStartsOnTheCopyTakesNewerVersionOfPeers holds on the old code too (the highest version wins); it guards that order against the era.

--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -207,3 +207,16 @@
 	rh.follower.MergeServers(clock.Now().Add(time.Second), later(rh.view.Load(), 1), []directory.Server{copied})
 	require.Equal(t, directory.Draining, rh.state("a"))
 }
+
+// TestHostThatStartsOnTheCopyTakesNewerVersionOfPeers guards against a host that knows only
+// the configuration of the copy, and one that goes back to it at the next read.
+func TestHostThatStartsOnTheCopyTakesNewerVersionOfPeers(t *testing.T) {
+	rh, clock := newClockedHost(t)
+	require.Equal(t, mp.Version(3), rh.view.Load().Version())
+	rh.follower.MergeConfiguration(compressed(t, `{"version":9}`))
+	require.Equal(t, mp.Version(9), rh.view.Load().Version())
+	rh.store.Restore(rh.store.Snapshot())
+	steps(t, clock, 10)
+	require.Equal(t, mp.Era(2), rh.view.Load().ListPosition.Era)
+	require.Equal(t, mp.Version(9), rh.view.Load().Version())
+}
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -29,3 +32,28 @@
 	fx.gateway.MergeState(time.Now(), peer.State{Digest: peer.Digest{ListPosition: later}, PackedServers: packed})
 	require.Equal(t, later, fx.gateway.StateFor(peer.State{}).ListPosition)
 }
+
+// TestHostWithoutStoreLearnsOfRestoreFromPeers guards against a host that can't reach the
+// store and keeps to the list of an earlier era, or passes it on, because the restored
+// store has given out fewer revisions.
+func TestHostWithoutStoreLearnsOfRestoreFromPeers(t *testing.T) {
+	app := startServer(t, respondWith("ok"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	saved := fx.store.Snapshot()
+	for ix := range 20 {
+		fx.putServer("app-9", "app", fmt.Sprintf("127.0.0.1:%d", 1+ix), "ready")
+	}
+	fed := fx.startFedHost(dialTCP)
+	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 2 })
+	fx.store.Restore(saved)
+	fx.putServer("app-0", "app", app.Address(), "draining")
+	fx.putServer("app-1", "app", app.Address(), "ready")
+	fx.eventually(func() bool { return fed.StateFor(peer.State{}).ListPosition.Era == 2 })
+	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 1 })
+	require.Equal(t, mp.Era(2), fx.gateway.StateFor(peer.State{}).ListPosition.Era)
+}
+
+// dialTCP opens an ordinary connection to another host.
+func dialTCP(ctx context.Context, address peer.Address) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", string(address))
+}
