gateway: a cut answer does not end the stream that a caller goes on with

Cause: the check for a cut before the first event was left out for a caller that had events from an earlier request.

Evidence: TestCallersStreamIsNotEndedByACut on the code before: expected the events 6 to 8, actual "" and "\n\n".

Fix: the check holds for every answer that begins the response to the caller. An engine that has nothing left can say so by a length or its last chunk.

--- a/gateway/resume_test.go
+++ b/gateway/resume_test.go
@@ -207,6 +207,28 @@
 	})
 }
 
+// TestCallersStreamIsNotEndedByACut guards against a caller that goes on with its stream and
+// takes an answer for its end that was cut before its first event.
+func TestCallersStreamIsNotEndedByACut(t *testing.T) {
+	for name, body := range map[string]string{"nothing": "", "blank lines": "\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				if calls.Add(1) == 1 {
+					co.Printf(streamBegin+"%s", rq.ID, body)
+					return false
+				}
+				co.Respond(rq, http.StatusOK, events(rq.LastEventID()+1, 8), eventStreamLine)
+				return true
+			}
+			fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+			got := fx.post(resumablePath, "r-1", "prompt", "Last-Event-Id: 5")
+			require.NoError(t, got.err)
+			require.Equal(t, events(6, 8), got.body)
+		})
+	}
+}
+
 // TestStreamWithoutIDsIsNotResumed guards against a stream that is begun once more in the
 // middle of itself: without IDs, no engine can be told where to go on.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -282,7 +282,7 @@
 	if !endsWithEvent(rest) {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended inside an event")}
 	}
-	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
+	if re.stream == nil && len(bytes.TrimSpace(rest)) == 0 && ex.EndsWithConnection() {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
 	if re.stream != nil && re.stream.resumed && !re.stream.isEndedBy(ex, rest) {
