follow: a configuration that is written again after a deletion is applied

Callers: a configuration that was deleted and written again at once, both within one page of a watch, is not in force until the next list call reads it (up to the list interval); with a page that keeps both, never.

Cause: a deletion anywhere in the page refused the page's configuration.

Fix: the last item with the key decides.

--- a/follow/state.go
+++ b/follow/state.go
@@ -251,17 +251,17 @@
 }
 
 // latestConfiguration returns the last configuration among the items, nil if
-// there is none. It fails with a not-found error if one of the items deletes the key.
+// there is none. It fails with a not-found error if the last item with the key deletes it.
 func latestConfiguration(items []platform.Item) ([]byte, error) {
 	var latest []byte
+	deleted := false
 	for _, it := range items {
-		if it.Key != platform.ConfigurationKey {
-			continue
+		if it.Key == platform.ConfigurationKey {
+			latest, deleted = it.Value, it.Deleted
 		}
-		if it.Deleted {
-			return nil, errors.NotFoundf("value of deleted key %q", it.Key)
-		}
-		latest = it.Value
+	}
+	if deleted {
+		return nil, errors.NotFoundf("value of deleted key %q", platform.ConfigurationKey)
 	}
 	return latest, nil
 }
