follow: an entry that is odd again is logged again

Operators: an entry of a server that was odd, then sound, then odd once more disappears the second time without a line in the log; the set of odd entries also grows for as long as the process runs.

Cause: which entries were logged was never cleared.

Evidence: TestEntryThatIsOddAgainIsLogged on the code before: "Condition never satisfied" (with waits of 4 s for that run).

--- a/follow/odd_test.go
+++ b/follow/odd_test.go
@@ -35,3 +35,20 @@
 	store.put("op/config", `{"version":5}`)
 	requireEventually(t, func() bool { return view.Load().Version() == 5 })
 }
+
+// TestEntryThatIsOddAgainIsLogged guards against an entry that is refused without a log line,
+// because it was refused once before it was sound.
+func TestEntryThatIsOddAgainIsLogged(t *testing.T) {
+	store, view, log := newStubStore(), follow.NewView(), &testkit.LogBuffer{}
+	store.put("op/config", configuration)
+	_, stop := follow.New(store, view, follow.WithListInterval(time.Millisecond), follow.WithLogger(zerolog.New(log)))
+	defer stop()
+	for count := range 3 {
+		store.clear()
+		store.put("servers/a", `{"service":7}`)
+		requireEventually(t, func() bool { return log.Count("server_entry_refused") == count+1 })
+		store.clear()
+		store.put("servers/a", entry)
+		requireEventually(t, func() bool { return len(view.Load().Servers) == 1 })
+	}
+}
--- a/follow/state.go
+++ b/follow/state.go
@@ -197,6 +197,8 @@
 		if err != nil {
 			st.logInvalidEntry(se.ID, err)
 			se.State = directory.Removed
+		} else {
+			delete(st.invalid, se.ID)
 		}
 		servers = append(servers, se)
 	}
