gateway: a request whose target is a whole URL is routed

Callers: a request with "GET http://host/path" as its request line, as for a proxy, which a server must accept, gets 404 though its route is there.

Cause: the route was looked up by the target as it came.

Evidence: TestAbsoluteTargetIsRouted on the code before: expected 200, actual 404.

Fix: path and query are taken from the URL if the target is one; the host is the URL's, as net/http reports it. The server gets the path and query with the encoding that the caller sent.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -208,7 +208,7 @@
 		fo.LastEventID = re.stream.lastEventID()
 	}
 	fo.Set(he)
-	opaque, query, _ := strings.Cut(re.rq.RequestURI, "?")
+	opaque, query, _ := strings.Cut(target(re.rq), "?")
 	rq := &http.Request{
 		Method:        re.rq.Method,
 		URL:           &url.URL{Opaque: opaque, RawQuery: query},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -399,3 +399,18 @@
 	require.Equal(t, 1, fx.logs.Count("reload_failed"), "the same error must be logged once")
 	require.True(t, fx.gateway.Ready())
 }
+
+// TestAbsoluteTargetIsRouted guards against a request whose target is a whole URL, as for a
+// proxy, and that matches no route.
+func TestAbsoluteTargetIsRouted(t *testing.T) {
+	app := startServer(t, respondWith("ran"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	nc, reader := fx.dialRaw()
+	_, err := fmt.Fprintf(nc, "GET http://%s%sa%%2Fb?c=d HTTP/1.1\r\nHost: elsewhere\r\nRequest-Id: r-1\r\nAuthorization: Bearer %s\r\n\r\n", host, idempotentPath, key)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, idempotentPath+"a%2Fb?c=d", app.Requests()[0].URI)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,9 +98,18 @@
 	return ev.Str("event", event).Str("request", string(re.headers.ID))
 }
 
+// target returns the undecoded path and query of the request, whose target may be a whole
+// URL.
+func target(rq *http.Request) string {
+	if !strings.HasPrefix(rq.RequestURI, "/") && rq.URL.Host != "" {
+		return rq.URL.RequestURI()
+	}
+	return rq.RequestURI
+}
+
 // path returns the undecoded path of the request.
 func path(rq *http.Request) string {
-	path, _, _ := strings.Cut(rq.RequestURI, "?")
+	path, _, _ := strings.Cut(target(rq), "?")
 	return path
 }
 
