caller: an answer whose events have no IDs is not begun twice

Callers (own API): an answer whose events had no IDs broke off; another engine began it once more, behind what the caller had, and it ended as complete.

Cause: tokens are counted by the IDs of events; text without them left the count at zero, and at zero a request may be retried from its beginning.

Evidence: TestStreamWithoutIDsIsNotBegunTwice on the code before, both for streams and whole answers: "word" came twice.

Fix: once text was passed on that the count doesn't have, the request isn't retried; it ends with the router's error and without an end marker. Events without text, such as the first one with only a role, don't matter.

--- a/caller/completion_request.go
+++ b/caller/completion_request.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/config"
 	"github.com/mangopaddle/mangopaddle/engine"
@@ -47,6 +49,7 @@
 	lastTokenAt     time.Time
 	deliveredBefore mp.Tokens // value of delivered when the current attempt started
 	mayHaveRun      bool      // an engine may have worked on the request
+	uncounted       bool      // text was passed to the writer that delivered doesn't count
 }
 
 // errCallerGone is returned by a completionWriter if the caller has disconnected
@@ -137,7 +140,7 @@
 // canRetry reports whether another attempt can continue after the tokens that
 // were delivered.
 func (cr *completionRequest) canRetry() bool {
-	return cr.completion.resumable || cr.delivered == 0
+	return !cr.uncounted && (cr.completion.resumable || cr.delivered == 0)
 }
 
 // recomputedTokens returns how many tokens are recorded as computed again after a
@@ -198,10 +201,24 @@
 		}
 		cr.lastTokenAt = now
 		cr.delivered = ev.TokenCount
+	} else if hasText(ev.Data) {
+		cr.uncounted = true
 	}
 	return cr.writer.handleEvent(ev)
 }
 
+// hasText reports whether an event has text of the answer.
+func hasText(data string) bool {
+	for _, path := range []string{"text", "delta.content", "delta.reasoning_content", "delta.refusal", "delta.tool_calls"} {
+		for _, text := range gjson.Get(data, "choices.#."+path).Array() {
+			if text.String() != "" && text.Raw != "[]" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // attemptOutcome describes the current attempt to the scheduler. AnswerTokens
 // includes the tokens of earlier attempts.
 func (cr *completionRequest) attemptOutcome(failed bool) mp.Outcome {
--- a/e2e/resume_test.go
+++ b/e2e/resume_test.go
@@ -53,3 +53,36 @@
 		})
 	}
 }
+
+// TestStreamWithoutIDsIsNotBegunTwice guards against an answer that is begun once more in the
+// middle of itself: without IDs of events, no engine can be told where to go on.
+func TestStreamWithoutIDsIsNotBegunTwice(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream %v", stream), func(t *testing.T) {
+			var calls atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+				if !strings.HasPrefix(rq.URL.Path, testkit.ChatPath) {
+					return
+				}
+				_, _ = fmt.Fprint(rw, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word \"}}]}\n\n")
+				if calls.Add(1) == 1 {
+					_ = http.NewResponseController(rw).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = fmt.Fprint(rw, "data: [DONE]\n\n")
+			}))
+			t.Cleanup(server.Close)
+			de := testkit.StartDeployment(t)
+			republish(t, de, func(fl *config.Fleet) {
+				for ix := range fl.Engines {
+					fl.Engines[ix].Address = strings.TrimPrefix(server.URL, "http://")
+				}
+			})
+			got := testkit.Post(t, de.Host.CallerAddress(), testkit.ChatPath, testkit.ChatBody(quickstart.ModelSmall, "q", stream, "5"))
+			require.LessOrEqual(t, strings.Count(got.Body, "word"), 1, got.Body)
+			require.NotContains(t, got.Body, mp.StreamEnd)
+			require.Contains(t, got.Body, mp.KindBackendFailed.String())
+			require.Equal(t, int64(1), calls.Load())
+		})
+	}
+}
