gateway: CONNECT is not routed by a path that nobody sent

Found by review.

Cause: a target without a slash and with a host counted as a whole URL; that of CONNECT is only a host.

Evidence: TestConnectIsNotRouted on the code before: expected 404, actual 200.

Fix: only a target with a scheme is a URL.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -414,3 +414,18 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, idempotentPath+"a%2Fb?c=d", app.Requests()[0].URI)
 }
+
+// TestConnectIsNotRouted guards against a path that the caller didn't send.
+func TestConnectIsNotRouted(t *testing.T) {
+	app := startServer(t, respondWith("ran"))
+	fx := newFixture(t, []*fakeserver.Server{app}, nil)
+	fx.configure(func(content map[string]any) { content["routes"].([]any)[0].(map[string]any)["path_prefix"] = "/" })
+	nc, reader := fx.dialRaw()
+	_, err := fmt.Fprintf(nc, "CONNECT %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: r-1\r\nAuthorization: Bearer %s\r\n\r\n", host, host, key)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+	require.Empty(t, app.Requests())
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -101,7 +101,7 @@
 // target returns the undecoded path and query of the request, whose target may be a whole
 // URL.
 func target(rq *http.Request) string {
-	if !strings.HasPrefix(rq.RequestURI, "/") && rq.URL.Host != "" {
+	if rq.URL.Scheme != "" {
 		return rq.URL.RequestURI()
 	}
 	return rq.RequestURI
