engine: answers are compared with the requests of their own connection

Callers (own API): an engine, or a router before it, that gives its answers IDs of the router's form failed each request, also on a new connection; an earlier 400 or 413, written once more without an ID, was told to the caller as one of its own ("not run"); and a repeated refusal of a request with the same ID, as of a retry at the only engine, counted for it.

Cause: IDs were compared by their form; a refusal that may be another request's counted as one that every engine would give; the connection was kept after a refusal.

Evidence: on the code before TestRepeatedRefusalDoesNotSayThatNothingRan, TestAnswerToAnotherRequestIsNotRelayed and TestAnswerWithAnIDOfItsOwnIsRelayed failed; on this one they pass, 15 times with -race.

Fix: package keptconn remembers the last 64 IDs that a connection has carried; an answer with one of them is not the present one's. A connection is closed after a refusal, and after an answer to an earlier request. A refusal that may be another's is neither "not run" nor the caller's fault.

The first two tests replace those of the same names, which asserted that the connection is kept after a refusal: it no longer is. They demand more: the next request must be served.

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,10 +10,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -21,6 +19,7 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/keptconn"
 )
 
 const (
@@ -100,7 +99,7 @@
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         keptconn.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		ReadBufferSize:      connBufferBytes,
@@ -168,17 +167,19 @@
 	defer progressTimer.Stop()
 	progressTimer.Stop() // runs only between events
 	rq.OnEvent = cl.restartTimerOnEvent(progressTimer, rq.OnEvent)
-	response, reused, err := cl.send(ctx, rq)
+	response, use, err := cl.send(ctx, rq)
 	if err != nil {
 		return cl.handleFailure(ctx, rq, StageSend, err)
 	}
 	defer response.Body.Close()
-	answered := mp.RequestID(response.Header.Get(mp.HeaderRequestID))
-	if answered != rq.ID && answered.IsGenerated() {
+	answered := response.Header.Get(mp.HeaderRequestID)
+	if use.IsEarlier(answered) {
+		use.Close()
 		return &Failure{Stage: StageSend, cause: errors.Errorf("the engine answered request %q", answered)}
 	}
 	if response.StatusCode != http.StatusOK {
-		return newRefusal(response, reused && answered != rq.ID)
+		defer use.Close() // the engine may write the refusal once more
+		return newRefusal(response, use.MayBeEarlier(answered))
 	}
 	if err := checkResumeOffset(rq, response); err != nil {
 		return err
@@ -197,16 +198,13 @@
 	return cl.handleFailure(ctx, rq, StageStream, body.err)
 }
 
-// send sends the request and reads the header of its response. It reports whether the
-// connection has carried an earlier request.
-func (cl *Client) send(ctx context.Context, rq Request) (*http.Response, bool, error) {
-	var reused atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
-	})
+// send sends the request and reads the header of its response. It returns the use of the
+// connection.
+func (cl *Client) send(ctx context.Context, rq Request) (*http.Response, *keptconn.Use, error) {
+	ctx, use := keptconn.Trace(ctx, string(rq.ID))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+rq.Address+rq.Path, bytes.NewReader(rq.Body))
 	if err != nil {
-		return nil, false, errors.Trace(err)
+		return nil, use, errors.Trace(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(mp.HeaderRequestID, string(rq.ID))
@@ -214,7 +212,7 @@
 		request.Header.Set(mp.HeaderLastEventID, strconv.FormatInt(int64(rq.ResumeAt), 10))
 	}
 	response, err := cl.transportFor(rq.Address).RoundTrip(request)
-	return response, reused.Load(), err
+	return response, use, err
 }
 
 // stopTimerOnEvent returns a function that stops the timer and then calls onEvent.
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -83,9 +83,10 @@
 }
 
 // IsClientError reports whether every engine would refuse the request. A 5xx
-// status, or 404, 408, 409 or 429, can be specific to one engine.
+// status, or 404, 408, 409 or 429, can be specific to one engine, and an unconfirmed
+// refusal be one of another request.
 func (fa *Failure) IsClientError() bool {
-	if fa.Stage != StageRefused || fa.Status >= http.StatusInternalServerError {
+	if fa.Stage != StageRefused || fa.Unconfirmed || fa.Status >= http.StatusInternalServerError {
 		return false
 	}
 	switch fa.Status {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,66 +120,111 @@
 const (
 	firstID  = "req-6b29fc40-ca47-4067-b31d-00dd010662da"
 	secondID = "req-0f8fad5b-d9cb-469f-a165-70867728950e"
+	thirdID  = "req-7c9e6679-7425-40de-944b-e07fc1f90ae7"
 )
 
-// TestRepeatedRefusalDoesNotSayThatNothingRan guards against a refusal that an engine writes
-// once more on a kept connection, so that the caller is told that its request was not run.
+// TestRepeatedRefusalDoesNotSayThatNothingRan guards against a refusal that an engine writes once more and that is taken for one of the next request.
 func TestRepeatedRefusalDoesNotSayThatNothingRan(t *testing.T) {
-	for name, repeated := range map[string]struct {
-		line   string
-		notRun bool
-	}{
-		"with the ID of the earlier request": {mp.HeaderRequestID + ": " + firstID + "\r\n", false},
-		"without an ID":                      {"", false},
-		"with an ID of the engine's own":     {mp.HeaderRequestID + ": cmpl-17\r\n", false},
-		"a refusal of the present request":   {mp.HeaderRequestID + ": " + secondID + "\r\n", true},
+	for _, line := range []string{mp.HeaderRequestID + ": " + firstID + "\r\n", "", mp.HeaderRequestID + ": cmpl-17\r\n"} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest} {
+			for _, id := range []mp.RequestID{firstID, secondID} {
+				refusal := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sContent-Length: 0\r\n\r\n", status, line)
+				var calls atomic.Int64
+				server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+					if calls.Add(1) == 1 || rq.ConnectionNumber == 1 {
+						co.Printf("%s", refusal)
+					}
+					if calls.Load() > 1 {
+						co.Printf(answerFormat, http.StatusOK, "", len(ownEvents), ownEvents)
+					}
+					return true
+				})
+				require.NoError(t, err)
+				t.Cleanup(stop)
+				client, closeClient := engine.New()
+				t.Cleanup(closeClient)
+				_, err = runOn(t, client, server.Address(), firstID)
+				var failure *engine.Failure
+				require.ErrorAs(t, err, &failure)
+				require.True(t, failure.NotRun())
+				events, err := runOn(t, client, server.Address(), id)
+				require.NoError(t, err, "%q %d %s", line, status, id)
+				require.Len(t, events, 1)
+			}
+		}
+	}
+}
+
+// answerFormat is the format of an answer: status, header lines, length and body.
+const answerFormat = "HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s"
+
+var ownEvents = sseEvent(1, `"own"`) + endEvent
+
+// TestAnswerToAnotherRequestIsNotRelayed guards against an answer to an earlier request that counts for the present one on a kept connection.
+func TestAnswerToAnotherRequestIsNotRelayed(t *testing.T) {
+	for name, earlier := range map[string]string{
+		"stream":                 fmt.Sprintf(answerFormat, http.StatusOK, mp.HeaderRequestID+": "+firstID+"\r\n", len(ownEvents), ownEvents),
+		"nothing":                fmt.Sprintf(answerFormat, http.StatusOK, mp.HeaderRequestID+": "+firstID+"\r\n", 0, ""),
+		"refusal":                fmt.Sprintf(answerFormat, http.StatusServiceUnavailable, mp.HeaderRequestID+": "+firstID+"\r\n", 0, ""),
+		"refusal without an ID":  fmt.Sprintf(answerFormat, http.StatusServiceUnavailable, "", 0, ""),
+		"bad request without ID": fmt.Sprintf(answerFormat, http.StatusBadRequest, "", 0, ""),
+		"too large without ID":   fmt.Sprintf(answerFormat, http.StatusRequestEntityTooLarge, "", 0, ""),
 	} {
 		t.Run(name, func(t *testing.T) {
-			const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n"
+			var calls atomic.Int64
 			server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
-				if rq.Header.Get(mp.HeaderRequestID) == firstID {
-					co.Printf(refusal, mp.HeaderRequestID+": "+firstID+"\r\n")
-					return true
+				if calls.Add(1) == 2 {
+					co.Printf("%s", earlier)
 				}
-				co.Printf(refusal, repeated.line)
+				co.Printf(answerFormat, http.StatusOK, mp.HeaderRequestID+": "+rq.Header.Get(mp.HeaderRequestID)+"\r\n", len(ownEvents), ownEvents)
 				return true
 			})
 			require.NoError(t, err)
 			t.Cleanup(stop)
 			client, closeClient := engine.New()
 			t.Cleanup(closeClient)
-			run := func(id mp.RequestID) *engine.Failure {
-				err := client.Run(t.Context(), engine.Request{
-					ID: id, Address: server.Address(), Path: "/v1/chat/completions", Body: []byte("{}"),
-					OnEvent: func(engine.Event) error { return nil },
-				})
-				var failure *engine.Failure
-				require.ErrorAs(t, err, &failure)
-				return failure
-			}
-			require.True(t, run(firstID).NotRun())
-			second := run(secondID)
-			requests := server.Requests()
-			require.Equal(t, 1, requests[len(requests)-1].ConnectionNumber, "the connection is kept")
-			require.Equal(t, repeated.notRun, second.NotRun())
-			require.False(t, second.IsClientError())
+			_, err = runOn(t, client, server.Address(), firstID)
+			require.NoError(t, err)
+			events, err := runOn(t, client, server.Address(), secondID)
+			require.Equal(t, 1, server.Requests()[1].ConnectionNumber, "the connection is kept")
+			require.Empty(t, events)
+			var failure *engine.Failure
+			require.ErrorAs(t, err, &failure)
+			require.False(t, failure.NotRun())
+			require.False(t, failure.IsClientError())
+			events, err = runOn(t, client, server.Address(), thirdID)
+			require.NoError(t, err, "the connection is one answer behind")
+			require.Len(t, events, 1)
 		})
 	}
 }
 
-// TestAnswerToAnotherRequestIsNotRelayed guards against a stream that an engine sends late, in
-// place of the answer to the next request on its connection.
-func TestAnswerToAnotherRequestIsNotRelayed(t *testing.T) {
-	address := startEngine(t, sseEvent(1, `"of another"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {firstID}})
-	events, err := runRequest(t, address, 0)
-	require.Empty(t, events)
-	var failure *engine.Failure
-	require.ErrorAs(t, err, &failure)
-	require.False(t, failure.NotRun())
-	address = startEngine(t, sseEvent(1, `"own"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {"cmpl-17"}})
-	events, err = runRequest(t, address, 0)
-	require.NoError(t, err, "an ID of the engine's own")
-	require.Len(t, events, 1)
+// runOn runs a request with an ID and returns its events.
+func runOn(t *testing.T, client *engine.Client, address string, id mp.RequestID) ([]engine.Event, error) {
+	t.Helper()
+	var events []engine.Event
+	err := client.Run(t.Context(), engine.Request{
+		ID: id, Address: address, Path: "/v1/chat/completions", Body: []byte("{}"),
+		OnEvent: func(ev engine.Event) error {
+			events = append(events, ev)
+			return nil
+		},
+	})
+	return events, err
+}
+
+// TestAnswerWithAnIDOfItsOwnIsRelayed guards against engines that are never used because they, or routers before them, give answers IDs of their own.
+func TestAnswerWithAnIDOfItsOwnIsRelayed(t *testing.T) {
+	for _, id := range []string{"cmpl-17", firstID} {
+		address := startEngine(t, sseEvent(1, `"own"`)+endEvent, http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {id}})
+		client, closeClient := engine.New()
+		t.Cleanup(closeClient)
+		for range 3 {
+			events, err := runOn(t, client, address, secondID)
+			require.NoError(t, err)
+			require.Len(t, events, 1)
+		}
+	}
 }
 
 // TestErrorOfEngineIsNotRelayed guards against the text of an engine's error in the middle of a
--- /dev/null
+++ b/keptconn/keptconn.go
@@ -0,0 +1,101 @@
+// Package keptconn remembers which requests the connections of an http.Transport have
+// carried. A server may write an earlier answer once more; net/http takes it for the one
+// to the present request.
+package keptconn
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+)
+
+// maxIDs is the number of request IDs, the latest, that a connection remembers.
+const maxIDs = 64
+
+// Conn is a connection that remembers the IDs of the requests that it has carried.
+type Conn struct {
+	net.Conn
+
+	mu  sync.Mutex
+	ids []string
+}
+
+// Dial returns a function for http.Transport that opens such connections.
+func Dial(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &Conn{Conn: nc}, nil
+	}
+}
+
+// Use is the use of a connection by one request. It is safe for concurrent use.
+type Use struct {
+	id string
+
+	mu      sync.Mutex
+	conn    *Conn
+	reused  bool
+	earlier []string
+}
+
+// Trace returns a context with which http.Transport reports the connection of the request
+// with an ID to the use.
+func Trace(ctx context.Context, id string) (context.Context, *Use) {
+	us := &Use{id: id}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: us.record}), us
+}
+
+// record records the connection that the request is sent on.
+func (us *Use) record(info httptrace.GotConnInfo) {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	us.reused = info.Reused
+	co, ok := info.Conn.(*Conn)
+	if !ok {
+		return
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	us.conn, us.earlier = co, slices.Clone(co.ids)
+	co.ids = append(co.ids, us.id)
+	if excess := len(co.ids) - maxIDs; excess > 0 {
+		co.ids = slices.Delete(co.ids, 0, excess)
+	}
+}
+
+// Sent reports whether a connection was open for the request.
+func (us *Use) Sent() bool {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	return us.conn != nil
+}
+
+// IsEarlier reports whether an answer with an ID is one to an earlier request on the
+// connection.
+func (us *Use) IsEarlier(answered string) bool {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	return answered != us.id && slices.Contains(us.earlier, answered)
+}
+
+// MayBeEarlier reports whether an answer with an ID may be one to an earlier request on
+// the connection: it has another ID or none, or an earlier request had the same.
+func (us *Use) MayBeEarlier(answered string) bool {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	return us.reused && (answered != us.id || slices.Contains(us.earlier, us.id))
+}
+
+// Close closes the connection, on which another answer may follow.
+func (us *Use) Close() {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	if us.conn != nil {
+		_ = us.conn.Close()
+	}
+}
