--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -296,7 +296,7 @@
 	if !endsWithEvent(rest) {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended inside an event")}
 	}
-	if len(rest) == 0 && !re.hasAnyEvent() && ex.EndsWithConnection() {
+	if re.stream == nil && len(bytes.TrimSpace(rest)) == 0 && ex.EndsWithConnection() {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the stream ended before its first event")}
 	}
 	st := re.stream
