directory: an entry of a copy counts only once the store was seen to keep it

What callers would see: a host reads one list after the store came back from a copy, in which a server that is leaving or gone is ready again. Then the store is away or cut off. 15 s later the host sent requests to that server, on the word of a list that nobody had confirmed since. A peer's list that was old on arrival did the same at once.

Cause: the time after which an entry of the copy is believed ran by the clock. That entries nobody renews have expired by then shows only in a list that is read after it.

Change: the entry counts if a list was confirmed 15 s after the first one of the era, not by the time alone.

--- a/directory/word.go
+++ b/directory/word.go
@@ -11,8 +11,8 @@
 	// wordLifetime is how long the last word of a server that left is remembered: longer
 	// than a copy from which the store comes back is old.
 	wordLifetime = time.Minute
-	// distrustTimeout is how long an earlier word stands against the entry of a copy.
-	// Entries that no server renews have expired by then.
+	// distrustTimeout is how long after the restore the store has to list an entry of the
+	// copy until it counts. Entries that no server renews have expired by then.
 	distrustTimeout = 15 * time.Second
 )
 
@@ -61,17 +61,18 @@
 }
 
 // forgetWords drops the words of servers that left long ago, and earlier words of servers
-// that the store still lists after distrustTimeout. It reports whether there were any of
-// the latter.
+// that the store was seen to list distrustTimeout after the restore. It reports whether
+// there were any of the latter.
 func (di *Directory) forgetWords(now time.Time) bool {
 	if now.Sub(di.eraSince) < distrustTimeout {
 		return false
 	}
 	trusted := false
+	confirmed := di.confirmedAt.Sub(di.eraSince) >= distrustTimeout
 	for id, wo := range di.words {
 		se, listed := di.listed[id]
 		switch {
-		case listed && wo.era != di.position.Era:
+		case listed && wo.era != di.position.Era && confirmed:
 			di.words[id] = word{server: se, era: di.position.Era}
 			trusted = true
 		case !listed && wo.isGone() && now.Sub(wo.goneAt) >= wordLifetime:
