service: answers are compared with the calls of their own connection

Found by review.

Cause: IDs were compared by their form, on new connections too.

Evidence: TestAnswerWithAnIDOfItsOwnIsReturned on the code before: "Received unexpected error".

Fix: an answer belongs to an earlier call only if its ID was sent on the same connection, which is then closed.

--- a/ids.go
+++ b/ids.go
@@ -1,10 +1,6 @@
 package mangopaddle
 
-import (
-	"strings"
-
-	"github.com/google/uuid"
-)
+import "github.com/google/uuid"
 
 // OrganisationID identifies a customer with a contract.
 type OrganisationID string
@@ -41,16 +37,7 @@
 
 // NewRequestID returns a new random identifier.
 func NewRequestID() RequestID {
-	return RequestID(requestIDPrefix + uuid.NewString())
-}
-
-const requestIDPrefix = "req-"
-
-// IsGenerated reports whether the identifier has the form of those of NewRequestID. Engines
-// and services may give their answers identifiers of their own.
-func (id RequestID) IsGenerated() bool {
-	text, ok := strings.CutPrefix(string(id), requestIDPrefix)
-	return ok && uuid.Validate(text) == nil
+	return RequestID("req-" + uuid.NewString())
 }
 
 // ConfigKey is the key of a value in the platform's store or in the published
--- a/keptconn/keptconn.go
+++ b/keptconn/keptconn.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	conn    *Conn
+	sent    bool
 	reused  bool
 	earlier []string
 }
@@ -54,7 +55,7 @@
 func (us *Use) record(info httptrace.GotConnInfo) {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	us.reused = info.Reused
+	us.sent, us.reused = true, info.Reused
 	co, ok := info.Conn.(*Conn)
 	if !ok {
 		return
@@ -72,7 +73,7 @@
 func (us *Use) Sent() bool {
 	us.mu.Lock()
 	defer us.mu.Unlock()
-	return us.conn != nil
+	return us.sent
 }
 
 // IsEarlier reports whether an answer with an ID is one to an earlier request on the
--- a/service/client.go
+++ b/service/client.go
@@ -8,13 +8,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/blackboard"
 	"github.com/mangopaddle/mangopaddle/config"
+	"github.com/mangopaddle/mangopaddle/keptconn"
 )
 
 const dialTimeout = time.Second
@@ -30,11 +29,11 @@
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	cl := &Client{
-		pooled: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
+		pooled: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true},
 		// http.Transport retries a request by itself when a reused connection
 		// turns out to be closed, and takes an Idempotency-Key header as
 		// permission to do so. It never retries on a new connection.
-		oneShot: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true},
+		oneShot: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true, DisableKeepAlives: true},
 	}
 	return cl, cl.pooled.CloseIdleConnections
 }
@@ -88,10 +87,7 @@
 // try sends the call to one replica. It reports whether any byte of the call
 // may have left this host.
 func (cl *Client) try(ctx context.Context, se *blackboard.Service, re config.Replica, call Call) (*Response, bool, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
+	ctx, use := keptconn.Trace(ctx, call.Header.Get(mp.HeaderRequestID))
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+re.Address+call.Path, newBody(call.Body))
 	if err != nil {
 		return nil, false, err
@@ -100,11 +96,12 @@
 	request.ContentLength = int64(len(call.Body))
 	response, err := cl.transport(se).RoundTrip(request)
 	if err != nil {
-		return nil, sent.Load(), err
+		return nil, use.Sent(), err
 	}
 	defer response.Body.Close()
 	answered := response.Header.Get(mp.HeaderRequestID)
-	if answered != call.Header.Get(mp.HeaderRequestID) && mp.RequestID(answered).IsGenerated() {
+	if use.IsEarlier(answered) {
+		use.Close()
 		return nil, true, mp.NewError(mp.KindBackendFailed, "replica %q answered call %q", re.Name, answered)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxResponseBytes)+1))
--- a/service/client_test.go
+++ b/service/client_test.go
@@ -49,3 +49,23 @@
 		require.Equal(t, 1, server.Requests()[1].ConnectionNumber, "the connection is kept")
 	}
 }
+
+// TestAnswerWithAnIDOfItsOwnIsReturned guards against calls that run and get no answer because the service gives its answers IDs of its own.
+func TestAnswerWithAnIDOfItsOwnIsReturned(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		server, stop, err := fakeserver.New(func(co *fakeserver.Conn, _ fakeserver.Request) bool {
+			co.Printf("HTTP/1.1 200 OK\r\n" + mp.HeaderRequestID + ": " + firstID + "\r\nContent-Length: 3\r\n\r\nown")
+			return true
+		})
+		require.NoError(t, err)
+		t.Cleanup(stop)
+		client, closeClient := service.New()
+		t.Cleanup(closeClient)
+		target := &blackboard.Service{Service: &config.Service{Name: "orders", Idempotent: idempotent, Timeout: mp.Duration(10 * time.Second)}, Available: []config.Replica{{Name: "a", Address: server.Address()}}}
+		for range 3 {
+			response, err := client.Do(t.Context(), target, service.Call{Method: http.MethodGet, Path: "/", Header: http.Header{http.CanonicalHeaderKey(mp.HeaderRequestID): {secondID}}})
+			require.NoError(t, err)
+			require.Equal(t, "own", string(response.Body))
+		}
+	}
+}
