directory: a list of which no entry is sound does not replace the known one

Found by review.

Cause: a list of which every entry was left out came out as an empty one.

Evidence: TestListWithoutSoundEntryIsRefused on the code before: "An error is expected but got nil" for [7,7].

--- a/directory/packed.go
+++ b/directory/packed.go
@@ -23,7 +23,8 @@
 }
 
 // Unpack is the inverse of Pack. It leaves out each entry that can't be read or names no
-// server, as Check says. It returns an error if the data is no list or too large.
+// server, as Check says. It returns an error if the data is no list or too large, or if no entry of it
+// is sound.
 func Unpack(packed []byte) ([]Server, error) {
 	data, err := compression.Decompress(packed, maxPackedBytes)
 	if err != nil {
@@ -41,5 +42,8 @@
 		}
 		servers = append(servers, se)
 	}
+	if len(servers) == 0 && len(entries) > 0 {
+		return nil, errors.NotValidf("list of %d servers without a sound one", len(entries))
+	}
 	return servers, nil
 }
--- a/directory/packed_test.go
+++ b/directory/packed_test.go
@@ -65,6 +65,21 @@
 	}
 }
 
+// TestListWithoutSoundEntryIsRefused guards against a known list that is replaced by none.
+func TestListWithoutSoundEntryIsRefused(t *testing.T) {
+	for _, text := range []string{"[7,7]", `[{"id":"a","service":"app","address":"10.0.0.1:80","slots":6,"state":"ready"}]`} {
+		packed, err := compression.Compress([]byte(text))
+		require.NoError(t, err)
+		_, err = directory.Unpack(packed)
+		require.Error(t, err, text)
+	}
+	packed, err := compression.Compress([]byte("[]"))
+	require.NoError(t, err)
+	servers, err := directory.Unpack(packed)
+	require.NoError(t, err)
+	require.Empty(t, servers)
+}
+
 // FuzzUnpack checks that no list of another host makes Unpack panic or return a server
 // that can't be used, and that what it returns can be sent on.
 func FuzzUnpack(f *testing.F) {
