engine: an empty error in an event is none

Found by review.

Evidence: TestErrorOfEngineIsNotRelayed, with the empty text and object added, on the code before: "Received unexpected error" for "".

Fix: only a text or an object that isn't empty is an error.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	reported := gjson.Get(ev.Data, "error")
-	return reported.IsObject() || reported.Type == gjson.String
+	return reported.IsObject() && reported.Raw != "{}" || reported.Type == gjson.String && reported.Str != ""
 }
 
 // IsUsage reports whether an event's data is the usage event at the end of a
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -253,10 +253,12 @@
 			}
 		})
 	}
-	sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":null}`)
-	events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
-	require.NoError(t, err)
-	require.Len(t, events, 1)
+	for _, empty := range []string{"null", `""`, "{}", "false", "0"} {
+		sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":`+empty+`}`)
+		events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
+		require.NoError(t, err, empty)
+		require.Len(t, events, 1)
+	}
 }
 
 // FuzzRelay checks that for any bytes from an engine the token counts never
