routing: services with equal large weights get equal parts

Callers: with weights that add up to more than 2^32 a service that has a share gets no request: of three with 2^31 each the third.

Cause: a hash of 32 bits can't reach further.

Evidence: TestEqualWeightsGetEqualParts on the code before: 2^31 each, a 1485, b 1515, c none of 3,000.

Fix: a hash of 64 bits where the sum needs it; all other choices stay.

--- a/routing/table.go
+++ b/routing/table.go
@@ -116,9 +116,7 @@
 	if total == 0 {
 		return ""
 	}
-	ha := fnv.New32a()
-	_, _ = ha.Write([]byte(id))
-	point := uint64(ha.Sum32()) % total
+	point := hashID(id, total) % total
 	for _, we := range ro.WeightedServices {
 		if point < we.limitedWeight() {
 			return we.Service
@@ -128,6 +126,18 @@
 	return ""
 }
 
+// hashID returns a hash of a request ID with 32 bits, or 64 if the total needs them.
+func hashID(id mp.RequestID, total uint64) uint64 {
+	if total > math.MaxUint32 {
+		ha := fnv.New64a()
+		_, _ = ha.Write([]byte(id))
+		return ha.Sum64()
+	}
+	ha := fnv.New32a()
+	_, _ = ha.Write([]byte(id))
+	return uint64(ha.Sum32())
+}
+
 // limitedWeight returns the weight, limited so that a sum of weights doesn't overflow.
 func (ws WeightedService) limitedWeight() uint64 {
 	return uint64(min(max(0, ws.Weight), math.MaxUint32))
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -37,3 +37,17 @@
 		}
 	}
 }
+
+// TestEqualWeightsGetEqualParts guards against a service that gets no request because weights are large.
+func TestEqualWeightsGetEqualParts(t *testing.T) {
+	for _, weight := range []int{1, 1000, 1 << 31, 1 << 32, 1 << 40, math.MaxInt} {
+		ro := &routing.Route{WeightedServices: []routing.WeightedService{{Service: "a", Weight: weight}, {Service: "b", Weight: weight}, {Service: "c", Weight: weight}}}
+		chosen := map[mp.ServiceName]int{}
+		for id := range 3000 {
+			chosen[ro.ServiceFor(mp.RequestID("r-"+strconv.Itoa(id*7919)))]++
+		}
+		for _, name := range []mp.ServiceName{"a", "b", "c"} {
+			require.InDelta(t, 1000, chosen[name], 300, "%d %v", weight, chosen)
+		}
+	}
+}
