engine: the error that an engine reports in a stream is the attempt's cause

Operators (own API): since such an error ends the attempt, its text stood nowhere: the log of the failed request said only that the stream ended. Found by review.

Evidence: TestErrorOfEngineIsNotRelayed, with the cause asserted, on the code before: "the attempt on the engine failed: EOF" does not contain "overloaded".

Fix: the first 300 bytes of the event are the cause of the failure, which is logged and not sent to the caller.

--- a/engine/client.go
+++ b/engine/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -195,7 +196,7 @@
 	if st.complete {
 		return nil
 	}
-	return cl.handleFailure(ctx, rq, StageStream, body.err)
+	return cl.handleFailure(ctx, rq, StageStream, cmp.Or(st.reported, body.err))
 }
 
 // send sends the request and reads the header of its response. It returns the use of the
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -12,11 +12,15 @@
 	mp "github.com/mangopaddle/mangopaddle"
 )
 
+// maxReportedBytes is how much of an error that an engine reports is logged.
+const maxReportedBytes = 300
+
 // stream is the state of one relayed stream.
 type stream struct {
 	request    Request
 	tokenCount mp.Tokens
 	complete   bool
+	reported   error // the error that the engine reported in an event; nil for none
 }
 
 // relay delivers the events that the caller does not have yet. It returns only
@@ -26,7 +30,11 @@
 	var eventErr error
 	events := sse.Read(body, &sse.ReadConfig{MaxEventSize: int(maxEventBytes)})
 	events(func(ev sse.Event, err error) bool {
-		if err != nil || isError(ev) {
+		if err != nil {
+			return false
+		}
+		if isError(ev) {
+			st.reported = errors.Errorf("the engine reported %.*q", maxReportedBytes, ev.Data)
 			return false
 		}
 		if ev.Data == mp.StreamEnd {
--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -248,6 +248,9 @@
 			var failure *engine.Failure
 			require.ErrorAs(t, err, &failure, "the stream must not look complete")
 			require.False(t, failure.NotRun())
+			if strings.Contains(name, "error") {
+				require.ErrorContains(t, failure, "overloaded")
+			}
 			for _, ev := range events {
 				require.Equal(t, engine.Event{TokenCount: 5, Data: `"five"`}, ev)
 			}
