caller: events without IDs are looked into only until one has text

Five look-ups for each event of an engine without IDs are not needed once the answer can't be begun again. Found by review; nothing else changes.

--- a/caller/completion_request.go
+++ b/caller/completion_request.go
@@ -201,7 +201,7 @@
 		}
 		cr.lastTokenAt = now
 		cr.delivered = ev.TokenCount
-	} else if hasText(ev.Data) {
+	} else if !cr.uncounted && hasText(ev.Data) {
 		cr.uncounted = true
 	}
 	return cr.writer.handleEvent(ev)
