--- a/engine/stream_test.go
+++ b/engine/stream_test.go
@@ -249,15 +249,20 @@
 			var failure *engine.Failure
 			require.ErrorAs(t, err, &failure, "the stream must not look complete")
 			require.False(t, failure.NotRun())
+			if strings.Contains(name, "error") {
+				require.ErrorContains(t, failure, "overloaded")
+			}
 			for _, ev := range events {
 				require.Equal(t, engine.Event{TokenCount: 5, Data: `"five"`}, ev)
 			}
 		})
 	}
-	sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":null}`)
-	events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
-	require.NoError(t, err)
-	require.Len(t, events, 1)
+	for _, empty := range []string{"null", `""`, "{}", "false", "0"} {
+		sound := sseEvent(5, `{"choices":[{"delta":{"content":"\"error\""}}],"error":`+empty+`}`)
+		events, err := runRequest(t, startEngine(t, sound+endEvent, resumed), 4)
+		require.NoError(t, err, empty)
+		require.Len(t, events, 1)
+	}
 }
 
 // FuzzRelay checks that for any bytes from an engine the token counts never
