--- a/schedule/scheduler_test.go
+++ b/schedule/scheduler_test.go
@@ -436,37 +436,39 @@
 	}
 }
 
-// startOn submits requests until one starts on the engine, and returns its identifier. The
-// requests that start on others end with an answer.
-func startOn(t *testing.T, sc *schedule.Scheduler, engine mp.EngineID, number *int) mp.RequestID {
+// failingEngine is the one of engines that fails in a test.
+const failingEngine mp.EngineID = "e0"
+
+// startOnFailing submits requests until one starts on failingEngine, and returns its
+// identifier. The requests that start on others end with an answer.
+func startOnFailing(t *testing.T, sc *schedule.Scheduler, number *int) mp.RequestID {
 	t.Helper()
 	for range 100 {
 		*number++
 		rq := request(*number, 0)
 		de := sc.Submit(epoch, rq)
 		require.Equal(t, mp.ActionStart, de.Action)
-		if de.Engine == engine {
+		if de.Engine == failingEngine {
 			return rq.ID
 		}
 		sc.Done(epoch, rq.ID, mp.Outcome{AnswerTokens: 1, TimeToFirstToken: time.Millisecond})
 	}
-	require.Fail(t, "no request started", "on engine %s", engine)
+	require.Fail(t, "no request started", "on engine %s", failingEngine)
 	return ""
 }
 
 // TestCancelledAttemptDoesNotClearFailures guards against an engine that fails every
 // request and is never ejected because callers disconnect in between.
 func TestCancelledAttemptDoesNotClearFailures(t *testing.T) {
-	const failing mp.EngineID = "e0"
 	sc := schedule.New()
 	sc.SetEngines(engines(3, 4))
 	number := 0
 	for range 3 {
-		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{})
-		sc.Done(epoch, startOn(t, sc, failing, &number), mp.Outcome{Failed: true})
+		sc.Done(epoch, startOnFailing(t, sc, &number), mp.Outcome{})
+		sc.Done(epoch, startOnFailing(t, sc, &number), mp.Outcome{Failed: true})
 	}
 	for _, en := range sc.Engines(epoch) {
-		require.Equal(t, en.ID == failing, en.Ejected, en.ID)
+		require.Equal(t, en.ID == failingEngine, en.Ejected, en.ID)
 	}
 }
 
@@ -477,8 +479,8 @@
 	sc.SetEngines(engines(3, 4))
 	number := 0
 	for range 6 {
-		sc.Done(epoch, startOn(t, sc, "e0", &number), mp.Outcome{Failed: true})
-		sc.Done(epoch, startOn(t, sc, "e0", &number), mp.Outcome{Completed: true})
+		sc.Done(epoch, startOnFailing(t, sc, &number), mp.Outcome{Failed: true})
+		sc.Done(epoch, startOnFailing(t, sc, &number), mp.Outcome{Completed: true})
 	}
 	for _, en := range sc.Engines(epoch) {
 		require.False(t, en.Ejected, en.ID)
