follow: a store that was restored between two calls is read again at once

What would be seen: the list was read from one era and the configuration, or the next page, from another. The host took this for a store that is away: it logged store_lost, counted an outage, backed off and listed again only after up to two list intervals, at the moment when it knew that its list was of a lost era.

TestRestoreBetweenTwoCallsIsNoOutage failed before.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -294,7 +294,11 @@
 	for ctx.Err() == nil {
 		position, err := fo.listOnce(ctx, configPosition)
 		configPosition = position
-		if err != nil {
+		if errors.Is(err, platform.ErrRestored) {
+			// The store answers, but was restored between two calls.
+			fo.sleep(ctx, fo.listInterval/minListSpacing)
+			fo.Refresh()
+		} else if err != nil {
 			failures++
 			fo.recordFailure("list", err)
 			fo.submit(func(st *state) bool {
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -220,3 +220,16 @@
 	require.Equal(t, mp.Era(2), rh.view.Load().ListPosition.Era)
 	require.Equal(t, mp.Version(9), rh.view.Load().Version())
 }
+
+// TestRestoreBetweenTwoCallsIsNoOutage guards against a host that takes a store which was
+// restored between two of its calls for one that is away, and waits before it reads again.
+func TestRestoreBetweenTwoCallsIsNoOutage(t *testing.T) {
+	store := newStubStore()
+	store.put("servers/a", entry)
+	store.failPrefix(platform.OperatorPrefix, platform.ErrRestored)
+	var logs testkit.LogBuffer
+	_, stop := follow.New(store, follow.NewView(), follow.WithLogger(zerolog.New(&logs)), follow.WithListInterval(40*time.Millisecond))
+	defer stop()
+	require.Eventually(t, func() bool { return store.listCalls(platform.ServersPrefix) > 5 }, waitTimeout, time.Millisecond)
+	require.Zero(t, logs.Count("store_lost"))
+}
