peer: hosts of the release before can read the revision of a list of servers

What would be seen in a rolling release: a host of the release before got no list of servers and no confirmation from newer hosts, since the revision had moved into another field of the digest. It went back to reading the store itself, later than a list from a peer.

Change: era and revision stand in the digest itself, the revision under its former name. A newer host still takes nothing from an older one if the store reports an era: what era its list is of isn't known.

TestListOfEarlierEraIsNotSpread sends an entry that a host can use, since others are refused.

--- a/bench/messages.go
+++ b/bench/messages.go
@@ -83,7 +83,7 @@
 func gossipState(count int) any {
 	state := peer.State{
 		From:   peer.Member{Address: exampleAddress, DataCentre: exampleDataCentre},
-		Digest: peer.Digest{Version: 1_000_000, ListPosition: mp.Position{Era: 1, Revision: 1_000_000}, ListAge: 617_317_889},
+		Digest: peer.Digest{Version: 1_000_000, ListPosition: peer.ListPosition{Era: 1, Revision: 1_000_000}, ListAge: 617_317_889},
 	}
 	for range membersPerMessage {
 		state.Members = append(state.Members, state.From)
@@ -108,7 +108,7 @@
 		From:     peer.Member{Address: exampleAddress, DataCentre: exampleDataCentre},
 		Host:     "edge-utrecht-1-100",
 		Sequence: 1_000_000,
-		Digest:   peer.Digest{Version: 1_000_000, ListPosition: mp.Position{Era: 1, Revision: 1_000_000}, ListAge: 617_317_889},
+		Digest:   peer.Digest{Version: 1_000_000, ListPosition: peer.ListPosition{Era: 1, Revision: 1_000_000}, ListAge: 617_317_889},
 		Loads:    map[mp.ServerID]peer.Load{},
 	}
 	for ix := range count {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -16,8 +16,8 @@
 // digest returns the version and age of the configuration of a snapshot, and the position
 // and age of its server list.
 func (ga *Gateway) digest(snapshot *follow.Snapshot) peer.Digest {
-	di := peer.Digest{Version: snapshot.Version(), ListPosition: snapshot.ListPosition}
-	if !di.ListPosition.IsZero() {
+	di := peer.Digest{Version: snapshot.Version(), ListPosition: peer.ListPosition(snapshot.ListPosition)}
+	if !snapshot.ListPosition.IsZero() {
 		di.ListAge = mp.Duration(ga.clock.Since(snapshot.ListConfirmedAt))
 	}
 	if di.Version > 0 {
@@ -30,7 +30,7 @@
 func (ga *Gateway) StateFor(other peer.State) peer.State {
 	snapshot := ga.view.Load()
 	local := peer.State{Digest: ga.digest(snapshot)}
-	if other.ListPosition.Before(local.ListPosition) {
+	if mp.Position(other.ListPosition).Before(snapshot.ListPosition) {
 		packed, err := snapshot.PackedServers()
 		if err != nil {
 			ga.logger.Error().Str("event", "server_list_not_sent").Err(err).Msg("cannot pack the list of servers for another host")
@@ -44,7 +44,7 @@
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
 	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	snapshot := ga.view.Load()
-	if remote.PackedServers != nil && snapshot.ListPosition.Before(remote.ListPosition) {
+	if remote.PackedServers != nil && snapshot.ListPosition.Before(mp.Position(remote.ListPosition)) {
 		ga.mergeServers(at, remote)
 	}
 	ga.confirm(at, remote.Digest)
@@ -58,7 +58,7 @@
 			Uint64("era", uint64(remote.ListPosition.Era)).Uint64("revision", uint64(remote.ListPosition.Revision)).Err(err).Msg("cannot read the list of servers of another host")
 		return
 	}
-	ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), remote.ListPosition, servers)
+	ga.follower.MergeServers(at.Add(-remote.ListAge.Std()), mp.Position(remote.ListPosition), servers)
 }
 
 // Configuration implements peer.Delegate.
@@ -79,7 +79,7 @@
 func (ga *Gateway) confirm(at time.Time, remote peer.Digest) {
 	snapshot := ga.view.Load()
 	co := follow.Confirmation{
-		ListPosition:    remote.ListPosition,
+		ListPosition:    mp.Position(remote.ListPosition),
 		ListAt:          at.Add(-remote.ListAge.Std()),
 		Version:         remote.Version,
 		ConfigurationAt: at.Add(-remote.ConfigurationAge.Std()),
@@ -157,7 +157,7 @@
 		ga.follower.ReportVersion(string(update.From.Address), update.Version)
 		ga.peers.TriggerTransfer(update.From.Address)
 	}
-	if snapshot.ListPosition.Before(update.ListPosition) {
+	if snapshot.ListPosition.Before(mp.Position(update.ListPosition)) {
 		ga.peers.TriggerExchange(update.From.Address)
 	}
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -21,9 +21,9 @@
 func TestListOfEarlierEraIsNotSpread(t *testing.T) {
 	fx := newFixture(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil)
 	known := fx.gateway.StateFor(peer.State{}).ListPosition
-	earlier := mp.Position{Era: known.Era - 1, Revision: known.Revision + 100}
-	later := mp.Position{Era: known.Era + 1, Revision: 1}
-	packed, err := directory.Pack([]directory.Server{{ID: "n", Service: "app", State: directory.Ready}})
+	earlier := peer.ListPosition{Era: known.Era - 1, Revision: known.Revision + 100}
+	later := peer.ListPosition{Era: known.Era + 1, Revision: 1}
+	packed, err := directory.Pack([]directory.Server{{ID: "n", Service: "app", Address: "127.0.0.1:1", Slots: 1, State: directory.Ready}})
 	require.NoError(t, err)
 	require.NotNil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: earlier}}).PackedServers, "a host of an earlier era gets no list")
 	require.Nil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: later}}).PackedServers)
--- a/peer/broadcaster_test.go
+++ b/peer/broadcaster_test.go
@@ -26,7 +26,7 @@
 
 func (bd *busyDelegate) LocalPeers() []peer.Address { return bd.recipients }
 func (bd *busyDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
-	return bd.loads, peer.Digest{Version: 7, ListPosition: mp.Position{Revision: 9}}
+	return bd.loads, peer.Digest{Version: 7, ListPosition: peer.ListPosition{Revision: 9}}
 }
 
 // TestLoadUpdateOfManyServersStillArrives guards against load updates that are dropped,
@@ -35,7 +35,7 @@
 	const servers = 6200
 	update := sendUpdate(t, &busyDelegate{loads: loadsOf(servers)})
 	require.Equal(t, mp.Version(7), update.Version)
-	require.Equal(t, mp.Position{Revision: 9}, update.ListPosition)
+	require.Equal(t, peer.ListPosition{Revision: 9}, update.ListPosition)
 	require.Contains(t, update.Loads, mp.ServerID(fmt.Sprintf("i-%010x", servers-1)), "the servers with the most load are left")
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -59,11 +59,17 @@
 type Digest struct {
 	// Version is the version of the configuration, zero for none.
 	Version mp.Version `json:"version"`
-	// ListPosition is the position of the list of backend servers in the store's history,
-	// zero for none.
-	ListPosition mp.Position `json:"list_position"`
+	ListPosition
 	// ListAge is the time since the list was last confirmed to match the store.
 	ListAge mp.Duration `json:"list_age"`
 	// ConfigurationAge is the same for the configuration.
 	ConfigurationAge mp.Duration `json:"configuration_age,omitempty"`
 }
+
+// ListPosition is the position of the list of backend servers in the store's history, zero
+// for none. Its fields stand in the digest itself: hosts of earlier releases know the
+// revision.
+type ListPosition struct {
+	Era      mp.Era      `json:"list_era,omitempty"`
+	Revision mp.Revision `json:"list_revision"`
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -12,8 +12,6 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/jsonrpc2"
-
-	mp "github.com/mangopaddle/mangopaddle"
 )
 
 const (
@@ -296,7 +294,7 @@
 
 // latestPosition stands in for the unknown position of a remote host, so that the
 // first message of an exchange carries only the digest and a sample of members.
-var latestPosition = mp.Position{Era: math.MaxUint64, Revision: math.MaxUint64}
+var latestPosition = ListPosition{Era: math.MaxUint64, Revision: math.MaxUint64}
 
 func (no *Node) call(ctx context.Context, conn *jsonrpc2.Conn, local State) (State, error) {
 	var response State
