--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -28,7 +28,7 @@
 	require.NotNil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: earlier}}).PackedServers, "a host of an earlier era gets no list")
 	require.Nil(t, fx.gateway.StateFor(peer.State{Digest: peer.Digest{ListPosition: later}}).PackedServers)
 	fx.gateway.MergeState(time.Now().Add(time.Minute), peer.State{Digest: peer.Digest{ListPosition: earlier}, PackedServers: packed})
-	require.Equal(t, known.Era, fx.gateway.StateFor(peer.State{}).ListPosition.Era)
+	require.Equal(t, known.Era, fx.gateway.StateFor(peer.State{}).Era)
 	fx.gateway.MergeState(time.Now(), peer.State{Digest: peer.Digest{ListPosition: later}, PackedServers: packed})
 	require.Equal(t, later, fx.gateway.StateFor(peer.State{}).ListPosition)
 }
@@ -48,9 +48,9 @@
 	fx.store.Restore(saved)
 	fx.putServer("app-0", "app", app.Address(), "draining")
 	fx.putServer("app-1", "app", app.Address(), "ready")
-	fx.eventually(func() bool { return fed.StateFor(peer.State{}).ListPosition.Era == 2 })
+	fx.eventually(func() bool { return fed.StateFor(peer.State{}).Era == 2 })
 	fx.eventually(func() bool { return fed.AvailableServerCount("app") == 1 })
-	require.Equal(t, mp.Era(2), fx.gateway.StateFor(peer.State{}).ListPosition.Era)
+	require.Equal(t, mp.Era(2), fx.gateway.StateFor(peer.State{}).Era)
 }
 
 // dialTCP opens an ordinary connection to another host.
