hedging, gateway: names of the field for hedged requests

"Contest", "challenger" and "verdict" were pictures of our own. The field says that a request is hedged by backup attempts, of which one replaces the primary and the others are cancelled.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,17 +119,17 @@
 func (ga *Gateway) attempt(ctx context.Context, re *request, ch placement.Choice) (placement.Choice, result) {
 	at := &attempt{choice: ch, startedAt: ga.clock.Now()}
 	for {
-		res, winner := ga.hedgedExchange(ctx, re, at)
+		res, replacement := ga.hedgedExchange(ctx, re, at)
 		ga.endAttempt(ctx, re, at, res)
 		if res.mayHaveRun {
 			re.mayHaveRun = true
 		}
-		if winner == nil {
+		if replacement == nil {
 			return at.choice, res
 		}
 		re.exclude(at.choice.Server.ID)
-		ga.logFailedAttempt(re, at.choice, res, "taken over by "+string(winner.choice.Server.ID))
-		at = winner
+		ga.logFailedAttempt(re, at.choice, res, "taken over by "+string(replacement.choice.Server.ID))
+		at = replacement
 	}
 }
 
@@ -142,11 +142,11 @@
 	if res.done {
 		return res, nil
 	}
-	winner := re.hedge.settle()
-	if winner != nil && (backend.IsInterrupted(res.err) || errors.Is(res.err, errTakenOver)) {
+	replacement := re.hedge.settle()
+	if replacement != nil && (backend.IsInterrupted(res.err) || errors.Is(res.err, errTakenOver)) {
 		res.outcome, res.err = placement.Cancelled, errTakenOver // the placer knows of the silence
 	}
-	return res, winner
+	return res, replacement
 }
 
 // endAttempt closes an attempt and tells the placer and the inspector how it ended.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -77,8 +77,8 @@
 	// held reports that the caller's goroutine has acquired the hedge; the connection may
 	// be in other hands by now. Only that goroutine sets it.
 	held    bool
-	changed *sync.Cond // of contest
-	contest hedging.Contest[*attempt]
+	changed *sync.Cond // of state
+	state   hedging.State[*attempt]
 	// silenceRecorded reports that the placer knows of the silence.
 	silenceRecorded bool
 	// refusal is why the last request to another server was refused.
@@ -97,8 +97,8 @@
 // server is silent after the timeout; zero for never.
 func (he *hedge) release(timeout time.Duration) {
 	now := he.ga.clock.Now()
-	if he.contest.Await(now, timeout) {
-		_, wait := he.contest.Silence(now)
+	if he.state.Await(now, timeout) {
+		_, wait := he.state.Silence(now)
 		he.setTimer(wait)
 	}
 	he.held = false
@@ -120,14 +120,14 @@
 		he.mu.Lock()
 		he.held = true
 	}
-	_, decided := he.contest.Winner()
+	_, decided := he.state.Replacement()
 	return !decided
 }
 
 // goOn records that the server has gone on with its answer; the others are left.
 // The caller must have acquired the hedge.
 func (he *hedge) goOn() {
-	if left := he.giveUp(he.contest.GoOn()); left > 0 {
+	if left := he.cancelAll(he.state.GoOn()); left > 0 {
 		he.re.log(he.ga.logger.Info(), "silence_ended").Str("server", string(he.at.choice.Server.ID)).
 			Int("left", left).Int("attempts", he.re.attempts).Msg("the silent server went on")
 	}
@@ -135,10 +135,10 @@
 
 // restart measures the silence anew from the next release. The caller must have acquired
 // the hedge.
-func (he *hedge) restart() { he.contest.Restart() }
+func (he *hedge) restart() { he.state.Restart() }
 
-// giveUp ends attempts at other servers and returns their number.
-func (he *hedge) giveUp(attempts []*attempt) int {
+// cancelAll ends attempts at other servers and returns their number.
+func (he *hedge) cancelAll(attempts []*attempt) int {
 	for _, at := range attempts {
 		at.cancel()
 	}
@@ -149,12 +149,12 @@
 // under way at other servers and returns the one that takes over; nil if none does.
 func (he *hedge) settle() *attempt {
 	he.acquire()
-	for he.contest.IsChallenged() {
+	for he.state.HasPending() {
 		he.changed.Wait()
 	}
-	winner, _ := he.contest.Winner()
+	replacement, _ := he.state.Replacement()
 	he.close()
-	return winner
+	return replacement
 }
 
 // close ends the hedge.
@@ -164,7 +164,7 @@
 	}
 	he.acquire()
 	he.closed = true
-	he.giveUp(he.contest.End())
+	he.cancelAll(he.state.End())
 	if he.timer != nil {
 		he.timer.Stop()
 	}
@@ -177,7 +177,7 @@
 	he.mu.Lock()
 	defer he.mu.Unlock()
 	now := he.ga.clock.Now()
-	silence, wait := he.contest.Silence(now)
+	silence, wait := he.state.Silence(now)
 	switch {
 	case wait < 0:
 		return
@@ -190,9 +190,9 @@
 		he.setTimer(unreadRecheck)
 		return
 	}
-	he.setTimer(he.contest.Timeout())
+	he.setTimer(he.state.Timeout())
 	he.recordSilence(now)
-	he.challenge(silence)
+	he.askOthers(silence)
 }
 
 // recordSilence tells the placer that the server is silent, once for an attempt.
@@ -206,10 +206,10 @@
 	he.ga.placer.RecordSilence(now, he.at.choice)
 }
 
-// challenge sends the request to another server, and to the next one if that fails, until
+// askOthers sends the request to another server, and to the next one if that fails, until
 // one takes over, the silent server goes on or no other one may be asked. The caller must
 // hold mu, which is released meanwhile.
-func (he *hedge) challenge(silence time.Duration) {
+func (he *hedge) askOthers(silence time.Duration) {
 	he.re.exclude(he.at.choice.Server.ID)
 	res := result{mayHaveRun: true, err: errSilent}
 	for {
@@ -219,7 +219,7 @@
 			return
 		}
 		failed := he.ask(ch)
-		if failed == nil || !he.contest.IsOpen() {
+		if failed == nil || !he.state.IsOpen() {
 			return
 		}
 		res = *failed
@@ -266,7 +266,7 @@
 	}
 	he.refusal = outcome
 	line := re.log(he.ga.logger.Info(), "server_silent").Str("server", string(he.at.choice.Server.ID)).Str("route", string(re.route.Name)).
-		Dur("silent_ms", silence).Dur("limit_ms", he.contest.Timeout()).Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).
+		Dur("silent_ms", silence).Dur("limit_ms", he.state.Timeout()).Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).
 		Int("servers", len(re.tried)).Bool("begun", re.stream != nil).Dur("left_ms", re.remaining(he.ga.clock.Now())).Str("outcome", outcome)
 	if refused != nil {
 		line = line.Str("cause", refused.Error())
@@ -284,7 +284,7 @@
 	rq := re.backendRequest(ch, at.startedAt)
 	re.attempts++
 	re.mayHaveRun = true // also at the silent server
-	he.contest.Enter(at)
+	he.state.AddBackup(at)
 	he.mu.Unlock()
 	res := ga.connect(ctx, re, at)
 	if res == nil {
@@ -292,18 +292,18 @@
 	}
 	he.mu.Lock()
 	defer he.changed.Broadcast()
-	if res == nil && he.contest.IsEntered(at) && !re.mayTakeOver(at) { // otherwise the request is no longer the hedge's
+	if res == nil && he.state.IsPending(at) && !re.mayTakeOver(at) { // otherwise the request is no longer the hedge's
 		res = at.rejection()
 	}
-	verdict, others := he.contest.Finish(at, res == nil)
-	switch verdict {
-	case hedging.TookOver:
-		he.giveUp(others)
+	outcome, others := he.state.Finish(at, res == nil)
+	switch outcome {
+	case hedging.Accepted:
+		he.cancelAll(others)
 		if !he.held {
 			he.at.conn.Interrupt()
 		}
 		return nil
-	case hedging.GivenUp:
+	case hedging.Cancelled:
 		ga.endAttempt(ctx, re, at, result{outcome: placement.Cancelled, mayHaveRun: true, err: errNoNeed})
 		return nil
 	case hedging.Failed:
