--- a/directory/directory.go
+++ b/directory/directory.go
@@ -68,8 +68,8 @@
 	eraSince time.Time
 	// listed are the servers as the store lists them.
 	listed map[mp.ServerID]Server
-	// words are the last words of the listed servers and of those that left lately.
-	words map[mp.ServerID]word
+	// lastEntries are those of the listed servers and of those that left lately.
+	lastEntries map[mp.ServerID]lastEntry
 	// retainedUntil holds the servers whose entries disappeared in an outage, and
 	// when they expire.
 	retainedUntil map[mp.ServerID]time.Time
@@ -84,7 +84,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{listed: map[mp.ServerID]Server{}, words: map[mp.ServerID]word{}, retainedUntil: map[mp.ServerID]time.Time{}}
+	return &Directory{listed: map[mp.ServerID]Server{}, lastEntries: map[mp.ServerID]lastEntry{}, retainedUntil: map[mp.ServerID]time.Time{}}
 }
 
 // Position returns the position of the list in the store's history; zero if none was read.
@@ -96,7 +96,7 @@
 
 // Replace applies a full list and reports whether the servers changed. It ignores
 // a list of an older position. What a server said in an earlier era stands until its entry
-// is a later word.
+// is a later one.
 func (di *Directory) Replace(now time.Time, position mp.Position, servers []Server) bool {
 	if position.Before(di.position) {
 		return false
@@ -111,7 +111,7 @@
 		di.listed[se.ID] = se
 		delete(di.retainedUntil, se.ID)
 		if !di.distrusts(now, se) {
-			di.words[se.ID] = word{server: se, era: position.Era}
+			di.lastEntries[se.ID] = lastEntry{server: se, era: position.Era}
 		}
 	}
 	for id := range before {
@@ -137,7 +137,7 @@
 		if se.State != Removed {
 			di.listed[se.ID] = se
 			delete(di.retainedUntil, se.ID)
-			di.words[se.ID] = word{server: se, era: position.Era}
+			di.lastEntries[se.ID] = lastEntry{server: se, era: position.Era}
 			continue
 		}
 		if _, ok := di.listed[se.ID]; ok {
@@ -170,7 +170,7 @@
 
 // drop retains a server whose entry disappeared, or records that it is gone.
 func (di *Directory) drop(now time.Time, id mp.ServerID) {
-	if wo := di.words[id]; !wo.isGone() && di.retain(now, wo.server) {
+	if le := di.lastEntries[id]; !le.isGone() && di.retain(now, le.server) {
 		return
 	}
 	di.recordGone(now, id)
@@ -207,10 +207,10 @@
 	return true
 }
 
-// Expire removes retained servers that did not register again in time, and forgets words
+// Expire removes retained servers that did not register again in time, and forgets entries
 // that no copy can contradict any more. It reports whether the servers changed.
 func (di *Directory) Expire(now time.Time) bool {
-	stale := di.forgetWords(now)
+	stale := di.forgetEntries(now)
 	for id, until := range di.retainedUntil {
 		if !now.Before(until) {
 			delete(di.retainedUntil, id)
@@ -226,12 +226,12 @@
 	before := di.servers
 	servers := make([]Server, 0, len(before))
 	for id := range di.listed {
-		if wo := di.words[id]; !wo.isGone() {
-			servers = append(servers, wo.server)
+		if le := di.lastEntries[id]; !le.isGone() {
+			servers = append(servers, le.server)
 		}
 	}
 	for id := range di.retainedUntil {
-		servers = append(servers, di.words[id].server)
+		servers = append(servers, di.lastEntries[id].server)
 	}
 	slices.SortFunc(servers, compareIDs)
 	if slices.Equal(before, servers) {
--- a/directory/word_test.go
+++ b/directory/last_entry_test.go
@@ -35,7 +35,7 @@
 			di.Replace(start.Add(3*time.Second), position(2, 19), list(copied))
 			di.Replace(start.Add(4*time.Second), position(2, 20), list(copied))
 			require.Equal(t, list(entry(directory.Draining, 1, 7)), di.Servers())
-			require.Equal(t, list(copied), di.Listed(), "other hosts get the store's word")
+			require.Equal(t, list(copied), di.Listed(), "other hosts get what the store lists")
 			di.Replace(start.Add(5*time.Second), position(2, 21), list(entry(directory.Draining, 1, 9)))
 			require.Equal(t, list(entry(directory.Draining, 1, 9)), di.Servers())
 			di.Replace(start.Add(6*time.Second), position(2, 22), list(entry(directory.Ready, 2, 1)))
--- a/hedging/state_test.go
+++ b/hedging/state_test.go
@@ -14,8 +14,8 @@
 // player plays a state and keeps who works on the request.
 type model struct {
 	*rapid.T
-	state   hedging.State[int]
-	added   int
+	state hedging.State[int]
+	added int
 	// working holds the backups that work on the request.
 	working map[int]bool
 	// takenOver reports that the present attempt's server has been left or has answered.
