--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
@@ -18,7 +19,7 @@
 // header lines.
 func respondAs(extra ...string) fakeserver.Handler {
 	return func(co *fakeserver.Conn, rq fakeserver.Request) bool {
-		if rq.Header.Get("Prompt-Prefix") == "" {
+		if rq.Header.Get(platform.HeaderPromptPrefix) == "" {
 			co.Respond(rq, http.StatusOK, "ok", extra...)
 			return true
 		}
@@ -34,7 +35,7 @@
 func (fx *fixture) postVaried(path string, number int) clientResponse {
 	id := fmt.Sprint("varied-", number)
 	if path == resumablePath {
-		return fx.post(path, id, "", fmt.Sprintf("Prompt-Prefix: %x:10,b:10", number+1))
+		return fx.post(path, id, "", fmt.Sprintf("%s: %x:10,b:10", platform.HeaderPromptPrefix, number+1))
 	}
 	return fx.post(path, id, "")
 }
@@ -82,7 +83,7 @@
 			return true
 		}, idempotentPath},
 		{"answer that breaks off", func(co *fakeserver.Conn, rq fakeserver.Request) bool {
-			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s\r\nContent-Length: 10\r\n%s\r\n\r\nhal", rq.ID, fakeserver.Leaving)
+			co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\nContent-Length: 10\r\n%s\r\n\r\nhal", rq.ID, platform.HeaderSignature, fakeserver.Leaving)
 			return false
 		}, idempotentPath},
 	}
--- a/gateway/misbehaviour_test.go
+++ b/gateway/misbehaviour_test.go
@@ -345,7 +345,7 @@
 // TestRepeatedRefusalIsOfTheEarlierRequest guards against a refusal that an engine writes once
 // more on a kept connection and that is taken for one of the present request, which runs.
 func TestRepeatedRefusalIsOfTheEarlierRequest(t *testing.T) {
-	const refusal = "HTTP/1.1 %d Refused\r\n%sNot-Executed: 1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n"
+	const refusal = "HTTP/1.1 %d Refused\r\n%sNot-Executed: 1\r\n" + platform.HeaderSignature + ": s\r\nContent-Length: 0\r\n\r\n"
 	for name, refused := range map[string]struct {
 		status   int
 		idLine   string
@@ -366,7 +366,7 @@
 			var refusals atomic.Int64
 			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 				if refusals.Add(1) == 1 {
-					co.Printf("HTTP/1.1 503 Refused\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nUpstream-Signature: s\r\nContent-Length: 0\r\n\r\n", rq.ID)
+					co.Printf(refusal, http.StatusServiceUnavailable, "Request-Id: "+rq.ID+"\r\n")
 					return true
 				}
 				if rq.ID == "r-3" {
--- a/gateway/odd_test.go
+++ b/gateway/odd_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mangopaddle/mangopaddle/platform"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
@@ -46,7 +47,7 @@
 	}
 	require.Zero(t, fx.logs.Count("attempt_failed"), "no odd entry was tried")
 	for _, rq := range app.Requests() {
-		require.Equal(t, "app-0", rq.Header.Get("Expect-Instance"))
+		require.Equal(t, "app-0", rq.Header.Get(platform.HeaderExpectInstance))
 	}
 	second := startServer(t, respondWith("second"))
 	fx.putServer("app-1", "app", second.Address(), "ready")
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -299,9 +299,9 @@
 	servers := []*fakeserver.Server{startServer(t, handler), startServer(t, handler)}
 	fx := newFixture(t, nil, servers)
 	long := make(chan clientResponse, 1)
-	go func() { long <- fx.post(resumablePath, "r-long", "prompt", "Token-Usage: 200000,10") }()
+	go func() { long <- fx.post(resumablePath, "r-long", "prompt", platform.HeaderTokenUsage+": 200000,10") }()
 	<-busy
-	got := fx.post(resumablePath, "r-1", "prompt", "Token-Usage: 100,10")
+	got := fx.post(resumablePath, "r-1", "prompt", platform.HeaderTokenUsage+": 100,10")
 	close(answered)
 	require.Equal(t, "id: 1\ndata: piece 1\n\n", got.body)
 	require.Equal(t, "id: 1\ndata: piece 1\n\n", (<-long).body)
