review: case 5, a part that crashes engines is taken for sound

A stream with neither a length nor chunks that ends with its engine clears the part of all evidence.

--- a/review/_standin/deadly.go
+++ b/review/_standin/deadly.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -20,10 +21,15 @@
 	lasts time.Duration
 }
 
-// playDeadly uses engines whose streams have neither a length nor chunks.
+// playDeadly uses engines whose streams have neither a length nor chunks. FRAMING=chunked
+// shows the same with chunks.
 func playDeadly(wo *world) (bool, error) {
+	framing := "unframed"
+	if set := os.Getenv("FRAMING"); set != "" {
+		framing = set
+	}
 	return wo.playPart(deadlyPlay{
-		hosts: 3, engines: 6, framing: "unframed", soundGap: 100 * time.Millisecond, soundEvents: 6,
+		hosts: 3, engines: 6, framing: framing, soundGap: 100 * time.Millisecond, soundEvents: 6,
 		deadlyGap: 700 * time.Millisecond, turns: 1, lasts: 30 * time.Second,
 	})
 }
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -142,6 +142,10 @@
 	}
 	wo.group.Wait()
 	_ = wo.log.Close()
+	if os.Getenv("KEEP") != "" { // the hosts' logs and settings
+		fmt.Println("kept", wo.temp)
+		return
+	}
 	_ = os.RemoveAll(wo.temp)
 }
 
