--- a/review/_standin/engine.go
+++ b/review/_standin/engine.go
@@ -28,6 +28,9 @@
 	deadly string
 }
 
+// idleTimeout is how long a channel stays open without a request. Keep-Alive states it.
+const idleTimeout = 10 * time.Second
+
 // tokensPerEvent is how many tokens an event of a stream holds.
 const tokensPerEvent = 5
 
@@ -62,10 +65,12 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
+		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		rq, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		_ = conn.SetReadDeadline(time.Time{})
 		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
 			return
 		}
@@ -82,6 +87,10 @@
 		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, se.id)
 		return err == nil
 	}
+	if rq.URL.Path == "/healthz" {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", se.id)
+		return err == nil
+	}
 	prefix := rq.Header.Get("Prompt-Prefix")
 	fmt.Printf("arrive %s path=%s prefix=%s after=%s tenant=%s key=%t\n", id, rq.URL.Path, prefix, rq.Header.Get("Last-Event-Id"), rq.Header.Get("Tenant"), rq.Header.Get("Authorization") != "")
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: %s.%s\r\n", id, se.id, id)
@@ -89,7 +98,7 @@
 		time.Sleep(se.first)
 		body := strings.Repeat("x", 800)
 		fmt.Printf("ran %s\n", id)
-		_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		_, err := fmt.Fprintf(conn, "%sKeep-Alive: timeout=%d\r\nContent-Length: %d\r\n\r\n%s", head, int(idleTimeout.Seconds()), len(body), body)
 		return err == nil
 	}
 	return se.stream(conn, reader, rq, head)
@@ -100,7 +109,7 @@
 	id := rq.Header.Get("Request-Id")
 	last, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id")) // none: from the beginning
 	events := eventCount(rq.Header.Get("Token-Usage"))
-	head += "Content-Type: text/event-stream\r\n"
+	head += "Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
 	if last >= events { // nothing is left
 		_, err := fmt.Fprintf(conn, "%sContent-Length: 0\r\n\r\n", head)
 		return err == nil
@@ -114,7 +123,7 @@
 	if unframed {
 		head += "Connection: close\r\n\r\n"
 	} else {
-		head += "Transfer-Encoding: chunked\r\n\r\n"
+		head += fmt.Sprintf("Keep-Alive: timeout=%d\r\nTransfer-Encoding: chunked\r\n\r\n", int(idleTimeout.Seconds()))
 	}
 	wait := se.first
 	for number := last + 1; number <= events; number++ {
@@ -140,10 +149,15 @@
 		}
 	}
 	fmt.Printf("ran %s\n", id)
-	if !unframed {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	if unframed {
+		return false
+	}
+	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+		return false
 	}
-	return false
+	_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
+	<-gone // the next request, or the end of the channel
+	return true
 }
 
 // eventCount returns the number of events of an answer, from the value of Token-Usage.
--- a/review/_standin/keys.go
+++ b/review/_standin/keys.go
@@ -34,20 +34,24 @@
 	time.Sleep(6 * time.Second) // all machines are in touch
 	var mu sync.Mutex
 	var calls []*call
-	var ackedAt time.Time
+	droppedAt := map[string]time.Time{} // by key, the ack of the version without it
 	keyOf := map[string]string{}
 	begin := time.Now()
 	go func() {
 		time.Sleep(6 * time.Second)
-		keys := []string{dropped1, dropped2}
-		if wo.trouble {
-			keys = []string{}
+		left := []string{dropped1, dropped2}
+		for ix, key := range []string{dropped1, dropped2} {
+			if wo.trouble {
+				left = left[1:]
+			}
+			version := 9 + 3*ix
+			wo.store.put("op/config", configuration(version, 1600, left))
+			mu.Lock()
+			droppedAt[key] = time.Now()
+			mu.Unlock()
+			wo.record("operator: version %d acknowledged, tenant hule930 has %d keys", version, len(left))
+			time.Sleep(500 * time.Millisecond)
 		}
-		wo.store.put("op/config", configuration(9, 1600, keys))
-		mu.Lock()
-		ackedAt = time.Now()
-		mu.Unlock()
-		wo.record("operator: version 9 acknowledged, tenant hule930 has %d keys", len(keys))
 	}()
 	every(100*time.Millisecond, begin.Add(18*time.Second), func(number int) {
 		key := []string{dropped1, dropped2, dropped1, dropped2, unknown}[number%5]
@@ -71,9 +75,9 @@
 		case keyOf[ca.id] == unknown:
 			never++
 			wo.record("ROUTE: %s ran at %s with a key that no configuration ever held, Tenant %q", ca.id, ev.engine, ev.field("tenant"))
-		case wo.trouble && ca.sentAt.After(ackedAt.Add(configTime)):
+		case wo.trouble && ca.sentAt.After(droppedAt[keyOf[ca.id]].Add(configTime)):
 			late++
-			wo.record("CONFIG: %s, sent %.3f s after the ack, ran at %s with a dropped key, Tenant %q", ca.id, ca.sentAt.Sub(ackedAt).Seconds(), ev.engine, ev.field("tenant"))
+			wo.record("CONFIG: %s, sent %.3f s after the ack, ran at %s with a dropped key, Tenant %q", ca.id, ca.sentAt.Sub(droppedAt[keyOf[ca.id]]).Seconds(), ev.engine, ev.field("tenant"))
 		default:
 			served++
 		}
--- a/review/_standin/shared.go
+++ b/review/_standin/shared.go
@@ -44,7 +44,7 @@
 	ask := func(number int, key string, events int, parts ...string) *call {
 		parts = append(parts, newID()[:8]+":200")
 		ca := &call{host: wo.hosts[number%len(wo.hosts)], method: http.MethodPost, path: "/lohu930/2f", body: strings.Repeat("t", 1400), header: map[string]string{
-			"Authorization": "Bearer " + key, "Model": "m", "Token-Usage": fmt.Sprintf("%d,%d", 543, events*tokensPerEvent), "Prompt-Prefix": strings.Join(parts, ","),
+			"Authorization": "Bearer " + key, "Model": "m", "Token-Usage": usage(parts, events), "Prompt-Prefix": strings.Join(parts, ","),
 		}}
 		wo.send(ca, 15*time.Second)
 		return ca
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"reflect"
 	"sort"
 	"strconv"
 	"strings"
@@ -15,7 +16,7 @@
 	Value          []byte `json:"value,omitempty"`
 	Revision       uint64 `json:"revision"`
 	CreateRevision uint64 `json:"create_revision,omitempty"`
-	Lease          uint64 `json:"lease"`
+	Lease          *int   `json:"lease,omitempty"` // 0, absent in the event of a deletion
 	Deleted        bool   `json:"deleted,omitempty"`
 }
 
@@ -41,7 +42,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.revision++
-	it := item{Key: key, Value: data, Revision: st.revision, CreateRevision: st.revision}
+	it := item{Key: key, Value: data, Revision: st.revision, CreateRevision: st.revision, Lease: new(int)}
 	if known, ok := st.items[key]; ok {
 		it.CreateRevision = known.CreateRevision
 	}
@@ -49,6 +50,32 @@
 	st.add(it)
 }
 
+// beat writes the entry of an engine. It changes only when more than the sequence changes.
+func (st *store) beat(key string, entry map[string]any) {
+	st.mu.Lock()
+	known, ok := st.items[key]
+	st.mu.Unlock()
+	if ok && sameEntry(known.Value, entry) {
+		return
+	}
+	st.put(key, entry)
+}
+
+// sameEntry reports whether an entry differs from a stored one in no more than the sequence.
+func sameEntry(stored []byte, entry map[string]any) bool {
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	var one, other map[string]any
+	if json.Unmarshal(stored, &one) != nil || json.Unmarshal(data, &other) != nil {
+		return false
+	}
+	delete(one, "sequence")
+	delete(other, "sequence")
+	return reflect.DeepEqual(one, other)
+}
+
 func (st *store) remove(key string) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/review/_standin/unframed.go
+++ b/review/_standin/unframed.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -35,11 +36,26 @@
 
 const streamKey = "n2ctnfzs989anu6wsjnb"
 
+// usage returns the value of Token-Usage: the tokens of all parts of a prompt, and the most
+// tokens of the answer.
+func usage(parts []string, events int) string {
+	prompt := 0
+	for _, part := range parts {
+		_, text, _ := strings.Cut(part, ":")
+		tokens, err := strconv.Atoi(text)
+		if err != nil {
+			panic(err)
+		}
+		prompt += tokens
+	}
+	return fmt.Sprintf("%d,%d", prompt, events*tokensPerEvent)
+}
+
 // stream is a request for a stream with a number of events, on a prompt with shared parts.
 func (wo *world) stream(ho *host, events int, parts ...string) *call {
 	parts = append(parts, newID()[:8]+":200")
 	ca := &call{host: ho, method: http.MethodPost, path: "/lohu930/2f", body: strings.Repeat("t", 1400), header: map[string]string{
-		"Authorization": "Bearer " + streamKey, "Model": "m", "Token-Usage": fmt.Sprintf("%d,%d", 543, events*tokensPerEvent), "Prompt-Prefix": strings.Join(parts, ","),
+		"Authorization": "Bearer " + streamKey, "Model": "m", "Token-Usage": usage(parts, events), "Prompt-Prefix": strings.Join(parts, ","),
 	}}
 	wo.send(ca, 15*time.Second)
 	return ca
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -293,11 +293,14 @@
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	en.count++
-	return map[string]any{
+	entry := map[string]any{
 		"service": en.service, "address": en.address, "zone": en.zone, "version": "v1", "slots": en.slots,
-		"state": "ready", "cold_remaining_ms": 0, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}},
-		"sequence": en.count, "born": en.born,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": en.count, "born": en.born,
 	}
+	if en.service == engineService {
+		entry["stage"], entry["models"] = "both", []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	return entry
 }
 
 const (
@@ -365,7 +368,7 @@
 				select {
 				case <-ended:
 				default:
-					wo.store.put("servers/"+en.id, en.entry())
+					wo.store.beat("servers/"+en.id, en.entry())
 				}
 			case <-ended:
 				wo.restart(en, again)
