--- a/review/_standin2/case_truncated.go
+++ b/review/_standin2/case_truncated.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -24,7 +26,9 @@
 		partGap    = 250 * time.Millisecond
 		readAfter  = 1200 * time.Millisecond
 		crashAfter = 800 * time.Millisecond
-		requests   = 8
+		requests   = 6 // as many such bodies as the hosts have room for
+		rounds     = 3
+		pause      = time.Second
 	)
 	wo.windowBytes = 32 << 10
 	part := func(en *engine, id string, n int) []byte {
@@ -34,6 +38,7 @@
 	var mu sync.Mutex
 	whole := map[string][]byte{} // the whole body that an engine made for a request, by its ID
 	ranAt := map[string]string{}
+	inProgress := map[string]int{} // by engine
 	wo.raw = func(en *engine, conn net.Conn) {
 		rq, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
@@ -46,6 +51,8 @@
 		}
 		mu.Lock()
 		whole[id], ranAt[id] = body, en.id
+		inProgress[en.id]++
+		defer func() { mu.Lock(); inProgress[en.id]--; mu.Unlock() }()
 		mu.Unlock()
 		wo.note("engine %s runs %s and begins to answer", en.id, id)
 		read := make(chan int64, 1)
@@ -70,35 +77,43 @@
 	}); err != nil {
 		return verdict{}, err
 	}
-	if trouble {
-		time.AfterFunc(crashAfter, func() { wo.engines[0].crash(false, 2*time.Second) })
-	}
 	body := string(bytes.Repeat([]byte("0123456789abcdef"), bodyBytes/16))
 	var group sync.WaitGroup
 	complete, failed, broken := 0, 0, 0
-	for ix := range requests {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			id, ho := newID(), wo.hosts[ix%2]
-			wo.note("client sends %s to %s", id, ho.name)
-			re := send(ho.front, "POST", "/r/x", fieldsOf(id, 15000), body, 20*time.Second)
-			mu.Lock()
-			defer mu.Unlock()
-			state := "no success"
-			switch isSuccess := re.status/100 == 2 && re.err == nil; {
-			case !isSuccess:
-				failed++
-			case bytes.Equal(whole[id], []byte(re.body)):
-				state = "whole"
-				complete++
-			default:
-				state = fmt.Sprintf("a success that looks complete, but has %d of the %d bytes of engine %s", len(re.body), len(whole[id]), ranAt[id])
-				broken++
-			}
-			wo.note("client got for %s after %d ms: %v: %s", id, re.tookMS, re, state)
-		}()
+	for range rounds {
+		if trouble {
+			time.AfterFunc(crashAfter, func() {
+				mu.Lock()
+				busiest := slices.MaxFunc(wo.engines, func(a, b *engine) int { return cmp.Compare(inProgress[a.id], inProgress[b.id]) })
+				mu.Unlock()
+				busiest.crash(false, 2*time.Second)
+			})
+		}
+		for ix := range requests {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				id, ho := newID(), wo.hosts[ix%2]
+				wo.note("client sends %s to %s", id, ho.name)
+				re := send(ho.front, "POST", "/r/x", fieldsOf(id, 15000), body, 20*time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				state := "no success"
+				switch isSuccess := re.status/100 == 2 && re.err == nil; {
+				case !isSuccess:
+					failed++
+				case bytes.Equal(whole[id], []byte(re.body)):
+					state = "whole"
+					complete++
+				default:
+					state = fmt.Sprintf("a success that looks complete, but has %d of the %d bytes of engine %s", len(re.body), len(whole[id]), ranAt[id])
+					broken++
+				}
+				wo.note("client got for %s after %d ms: %v: %s", id, re.tookMS, re, state)
+			}()
+		}
+		group.Wait()
+		time.Sleep(pause)
 	}
-	group.Wait()
 	return verdict{broken > 0, fmt.Sprintf("%d answers whole, %d no success, %d successes without the engine's whole body", complete, failed, broken)}, nil
 }
