--- a/review/_standin2/case_crashpart.go
+++ b/review/_standin2/case_crashpart.go
@@ -10,15 +10,30 @@
 	"time"
 )
 
-func init() { cases["crash-part"] = caseCrashPart }
+func init() {
+	const busy = 40 * time.Millisecond
+	cases["quiet"] = crashPartCase{chunked: true, soundGap: 5 * time.Second}.play
+	cases["unframed"] = crashPartCase{soundGap: busy}.play
+	cases["many-parts"] = crashPartCase{chunked: true, commonParts: 150, soundGap: busy}.play
+}
+
+// crashPartCase is a case in which a part of some prompts crashes each engine that begins to
+// write an answer on it.
+type crashPartCase struct {
+	// chunked streams come in chunks; others have neither a length nor chunks and end with
+	// their channel.
+	chunked bool
+	// commonParts is the number of parts that all prompts have.
+	commonParts int
+	// soundGap is the time between two sound requests.
+	soundGap time.Duration
+}
 
-// caseCrashPart: a part of some prompts crashes each engine that begins to write an answer on
-// it. The engines' streams have neither a length nor chunks and end with their channel.
-func caseCrashPart(wo *world, trouble bool) (verdict, error) {
+func (cc crashPartCase) play(wo *world, trouble bool) (verdict, error) {
 	const (
 		crashPart   = "dead01"
 		length      = 30 * time.Second
-		soundGap    = 40 * time.Millisecond
+		tick        = 5 * time.Millisecond
 		deadlyGap   = 400 * time.Millisecond
 		events      = 5
 		eventGap    = 20 * time.Millisecond
@@ -38,12 +53,20 @@
 			wo.note("request %s with the part reaches engine %s", ru.id, en.id)
 		}
 		time.Sleep(30 * time.Millisecond)
-		text := "HTTP/1.1 200 OK\r\nRequest-Id: " + ru.id + "\r\nUpstream-Signature: s." + ru.id + "\r\nContent-Type: text/event-stream\r\n\r\n"
+		text := "HTTP/1.1 200 OK\r\nRequest-Id: " + ru.id + "\r\nUpstream-Signature: s." + ru.id + "\r\nContent-Type: text/event-stream\r\n"
+		if cc.chunked {
+			text += "Transfer-Encoding: chunked\r\n"
+		}
+		text += "\r\n"
 		if _, err := io.WriteString(conn, text); err != nil {
 			return false
 		}
 		for n := range events {
-			if _, err := fmt.Fprintf(conn, "id: %d\ndata: token %d\n\n", n, n); err != nil {
+			event := fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n)
+			if cc.chunked {
+				event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			}
+			if _, err := io.WriteString(conn, event); err != nil {
 				return false
 			}
 			if isDeadly { // the process ends; the system closes its channels
@@ -55,7 +78,11 @@
 			}
 			time.Sleep(eventGap)
 		}
-		return false
+		if !cc.chunked {
+			return false
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
 	}
 	if err := wo.deploy(deployment{
 		engines: 12, service: "llm", model: true, hosts: 3,
@@ -63,16 +90,22 @@
 	}); err != nil {
 		return verdict{}, err
 	}
+	common := ""
+	for ix := range cc.commonParts {
+		common += fmt.Sprintf("c%03x:10,", ix)
+	}
 	var group sync.WaitGroup
 	sound, served, sent := 0, 0, 0
 	request := func(isDeadly bool) {
 		defer group.Done()
 		id := newID()
-		prompt := fmt.Sprintf("5a%02x:800,7b%02x:400,%s:200", rand.Intn(4), rand.Intn(40), id[4:])
+		last := fmt.Sprintf("7b%02x", rand.Intn(40))
 		if isDeadly {
-			prompt = fmt.Sprintf("5a%02x:800,%s:400,%s:200", rand.Intn(4), crashPart, id[4:])
+			last = crashPart
 		}
-		fields := append(fieldsOf(id, 5000), "Model: m", "Token-Usage: 1400,25", "Prompt-Prefix: "+prompt)
+		prompt := fmt.Sprintf("5a%02x:800,%s%s:400,%s:200", rand.Intn(4), common, last, id[4:])
+		usage := fmt.Sprintf("Token-Usage: %d,25", 1400+10*cc.commonParts)
+		fields := append(fieldsOf(id, 5000), "Model: m", usage, "Prompt-Prefix: "+prompt)
 		ho := wo.hosts[rand.Intn(len(wo.hosts))]
 		re := send(ho.front, "POST", "/r/x", fields, "prompt", 6*time.Second)
 		mu.Lock()
@@ -87,16 +120,19 @@
 			served++
 		}
 	}
-	began, nextDeadly := time.Now(), 3*time.Second
+	began, nextSound, nextDeadly := time.Now(), time.Duration(0), 3*time.Second
 	for time.Since(began) < length {
-		group.Add(1)
-		go request(false)
+		if time.Since(began) >= nextSound {
+			nextSound += cc.soundGap
+			group.Add(1)
+			go request(false)
+		}
 		if trouble && time.Since(began) >= nextDeadly {
 			nextDeadly += deadlyGap
 			group.Add(1)
 			go request(true)
 		}
-		time.Sleep(soundGap)
+		time.Sleep(tick)
 	}
 	group.Wait()
 	late := 0
