--- a/review/_standin2/deploy.go
+++ b/review/_standin2/deploy.go
@@ -22,6 +22,7 @@
 const (
 	hostName   = "a.example"
 	apiKey     = "n2ctnfzs989anu6wsjnb"
+	otherKey   = "anfqasnmgkcuyj8pjbvk"
 	tenantName = "hule930"
 )
 
@@ -48,13 +49,14 @@
 	for name, value := range de.route {
 		route[name] = value
 	}
-	wo.store.put("op/config", map[string]any{
+	wo.configuration = map[string]any{
 		"version":  7,
 		"services": []any{service},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants":  []any{map[string]any{"name": tenantName, "api_keys": []string{apiKey}}},
+		"tenants":  []any{map[string]any{"name": tenantName, "api_keys": []string{apiKey, otherKey}}},
 		"routes":   []any{route},
-	})
+	}
+	wo.store.put("op/config", wo.configuration)
 	if err := wo.prepareHosts(de.hosts); err != nil {
 		return err
 	}
--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -119,7 +119,7 @@
 		"state": en.state, "cold_remaining_ms": 0, "sequence": en.sequence, "born": en.born,
 	}
 	en.mu.Unlock()
-	en.world.store.put("servers/"+en.id, entry)
+	en.world.currentStore().put("servers/"+en.id, entry)
 }
 
 // crash ends the engine's process: nothing listens any more and its connections end. It is
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -14,7 +14,7 @@
 
 // store is the platform's metadata store: range reads and watches.
 type store struct {
-	mu       sync.Mutex
+	mu       sync.Mutex // guards the fields up to changed
 	revision int64
 	items    map[string]storeItem
 	history  []storeItem
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,10 +20,13 @@
 
 // world holds the store, the engines and the gateway's processes of a case.
 type world struct {
-	dir     string
+	dir string
+	// store is replaced by moveStore; currentStore returns it.
 	store   *store
 	engines []*engine
 	hosts   []*host
+	// configuration is what the operator wrote last.
+	configuration map[string]any
 	// handler answers a request at an engine. It returns false to end the connection.
 	handler func(en *engine, conn net.Conn, ru run) bool
 	// raw replaces handler if it is set: it serves a whole connection.
@@ -44,6 +49,7 @@
 	peers    string
 	metrics  string
 	settings string
+	values   map[string]any
 	log      *os.File
 	process  *exec.Cmd
 	done     chan error
@@ -63,6 +69,37 @@
 	return wo, err
 }
 
+// currentStore returns the store that the platform has now.
+func (wo *world) currentStore() *store {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	return wo.store
+}
+
+// moveStore moves the store with all that it holds to another address, ends it at the former one
+// and writes the new address into the settings files.
+func (wo *world) moveStore() error {
+	former := wo.currentStore()
+	moved, err := newStore("127.0.0.1")
+	if err != nil {
+		return err
+	}
+	former.mu.Lock()
+	moved.revision, moved.items, moved.history = former.revision, maps.Clone(former.items), slices.Clone(former.history)
+	former.mu.Unlock()
+	wo.mu.Lock()
+	wo.store = moved
+	wo.mu.Unlock()
+	for _, ho := range wo.hosts {
+		ho.values["store"] = moved.address
+		if err := writeFile(ho.settings, ho.values); err != nil {
+			return err
+		}
+	}
+	wo.note("the store is at %s now, and no longer at %s", moved.address, former.address)
+	return former.server.Close()
+}
+
 // note writes a line to the record.
 func (wo *world) note(format string, args ...any) {
 	wo.mu.Lock()
@@ -119,6 +156,7 @@
 			"stop_time": "8s", "config_time": "3000ms", "drain_time": "3000ms",
 			"retry_ratio": 0.2, "retry_window": "10s", "retry_slack": 56, "memory_mb": 134,
 		}
+		ho.values = settings
 		if err := writeFile(ho.settings, settings); err != nil {
 			return err
 		}
