--- a/review/_standin2/case_crashpart.go
+++ b/review/_standin2/case_crashpart.go
@@ -53,7 +53,7 @@
 			wo.note("request %s with the part reaches engine %s", ru.id, en.id)
 		}
 		time.Sleep(30 * time.Millisecond)
-		text := "HTTP/1.1 200 OK\r\nRequest-Id: " + ru.id + "\r\nUpstream-Signature: s." + ru.id + "\r\nContent-Type: text/event-stream\r\n"
+		text := "HTTP/1.1 200 OK\r\nRequest-Id: " + ru.id + "\r\nUpstream-Signature: s." + ru.id + "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
 		if cc.chunked {
 			text += "Transfer-Encoding: chunked\r\n"
 		}
@@ -70,10 +70,11 @@
 				return false
 			}
 			if isDeadly { // the process ends; the system closes its channels
-				mu.Lock()
-				crashes = append(crashes, time.Now())
-				mu.Unlock()
-				en.crash(false, downTime)
+				if en.crash(downTime) {
+					mu.Lock()
+					crashes = append(crashes, time.Now())
+					mu.Unlock()
+				}
 				return false
 			}
 			time.Sleep(eventGap)
--- a/review/_standin2/case_lost.go
+++ b/review/_standin2/case_lost.go
@@ -25,7 +25,7 @@
 	runs := map[string]*served{}
 	wo.raw = func(en *engine, conn net.Conn) {
 		rq, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
+		if err != nil || en.isMisdirected(conn, rq.Header) {
 			return
 		}
 		id := rq.Header.Get("Request-Id")
@@ -44,7 +44,7 @@
 			count, _ := io.Copy(io.Discard, rq.Body)
 			read <- count
 		}()
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id); err != nil {
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nUpstream-Signature: s.%s\r\nWeight-Versions: 1\r\nConnection: close\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id); err != nil {
 			return
 		}
 		for n := range events {
--- a/review/_standin2/case_truncated.go
+++ b/review/_standin2/case_truncated.go
@@ -41,7 +41,7 @@
 	inProgress := map[string]int{} // by engine
 	wo.raw = func(en *engine, conn net.Conn) {
 		rq, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
+		if err != nil || en.isMisdirected(conn, rq.Header) {
 			return
 		}
 		id := rq.Header.Get("Request-Id")
@@ -86,7 +86,7 @@
 				mu.Lock()
 				busiest := slices.MaxFunc(wo.engines, func(a, b *engine) int { return cmp.Compare(inProgress[a.id], inProgress[b.id]) })
 				mu.Unlock()
-				busiest.crash(false, 2*time.Second)
+				busiest.crash(2 * time.Second)
 			})
 		}
 		for ix := range requests {
--- a/review/_standin2/deploy.go
+++ b/review/_standin2/deploy.go
@@ -32,20 +32,21 @@
 // deploy writes the configuration, starts the engines and the hosts and waits until all are
 // in touch.
 func (wo *world) deploy(de deployment) error {
+	wo.model = de.model
 	for ix := range de.engines {
 		if _, err := wo.newEngine(fmt.Sprintf("i-%s%02d", de.service, ix+1), de.service, "127.0.0.1"); err != nil {
 			return err
 		}
 	}
-	service := map[string]any{"name": de.service}
+	service := map[string]any{"name": de.service, "health_path": "/healthz", "max_connections": 370, "protocol": "h1", "tls": false}
 	if de.model {
-		service["engine"] = map[string]any{"stride": 5, "kv_capacity": 325133}
+		service["engine"] = map[string]any{"slots": 64, "stride": 5, "kv_capacity": 325133, "models": []any{map[string]any{"name": "m"}}}
 	}
 	prefix := de.prefix
 	if prefix == "" {
 		prefix = "/r/"
 	}
-	route := map[string]any{"name": "r", "host": hostName, "path_prefix": prefix, "priority": 1, "service": de.service}
+	route := map[string]any{"name": "r", "host": hostName, "path_prefix": prefix, "priority": 1, "service": de.service, "public": false, "sticky": de.model}
 	for name, value := range de.route {
 		route[name] = value
 	}
--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -118,25 +118,26 @@
 		"service": en.service, "address": en.address, "zone": "z1", "version": "1", "slots": 64,
 		"state": en.state, "cold_remaining_ms": 0, "sequence": en.sequence, "born": en.born,
 	}
+	if en.world.model {
+		entry["stage"] = "both"
+		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
+	}
 	en.mu.Unlock()
 	en.world.currentStore().put("servers/"+en.id, entry)
 }
 
 // crash ends the engine's process: nothing listens any more and its connections end. It is
-// back after a while, in a new lifetime. With reset, the connections are reset.
-func (en *engine) crash(reset bool, back time.Duration) {
+// back after a while, in a new lifetime. crash returns false if the engine was down already.
+func (en *engine) crash(back time.Duration) bool {
 	en.mu.Lock()
 	if en.down {
 		en.mu.Unlock()
-		return
+		return false
 	}
 	en.down = true
 	close(en.stopBeat)
 	_ = en.listener.Close()
 	for conn := range en.conns {
-		if tc, ok := conn.(*net.TCPConn); ok && reset {
-			_ = tc.SetLinger(0)
-		}
 		_ = conn.Close()
 	}
 	en.conns = map[net.Conn]struct{}{}
@@ -151,6 +152,7 @@
 		en.begin(listener)
 		en.world.note("engine %s is back", en.id)
 	})
+	return true
 }
 
 func (en *engine) serve(conn net.Conn) {
@@ -182,8 +184,7 @@
 			return
 		}
 		ru := run{at: time.Now(), engine: en.id, id: header.Get("Request-Id"), line: line, header: header, body: body}
-		if want := header.Get("Expect-Instance"); want != "" && want != en.id {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", en.id, ru.id)
+		if en.isMisdirected(conn, header) {
 			continue
 		}
 		if !en.world.handler(en, conn, ru) {
@@ -192,6 +193,16 @@
 	}
 }
 
+// isMisdirected answers 421 to a request that expects another engine.
+func (en *engine) isMisdirected(conn net.Conn, header http.Header) bool {
+	want := header.Get("Expect-Instance")
+	if want == "" || want == en.id {
+		return false
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", en.id, header.Get("Request-Id"))
+	return true
+}
+
 // answer writes a whole answer with a length.
 func answer(conn net.Conn, ru run, status int, body string) bool {
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nUpstream-Signature: s.%s\r\nContent-Length: %d\r\n\r\n%s",
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
+	"syscall"
 )
 
 // verdict says whether the rule was broken, and why.
@@ -35,6 +37,14 @@
 		return 2
 	}
 	defer wo.end()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		wo.note("ended by a signal")
+		wo.end()
+		os.Exit(2)
+	}()
 	wo.note("case %s, trouble %t", os.Args[1], trouble)
 	ve, err := cases[os.Args[1]](wo, trouble)
 	switch {
--- a/review/_standin2/store.go
+++ b/review/_standin2/store.go
@@ -125,5 +125,6 @@
 
 func writeJSON(rw http.ResponseWriter, value any) {
 	rw.Header().Set("Content-Type", "application/json")
+	rw.Header().Set("Store-Era", "1")
 	_ = json.NewEncoder(rw).Encode(value)
 }
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -25,6 +25,8 @@
 	store   *store
 	engines []*engine
 	hosts   []*host
+	// model marks the engines as model engines.
+	model bool
 	// configuration is what the operator wrote last.
 	configuration map[string]any
 	// handler answers a request at an engine. It returns false to end the connection.
