A response with a status that HTTP doesn't have is no answer

What callers saw: an engine in trouble sends "HTTP/1.1 000 Odd". On the operators' platform the host took the status for an interim one and read on: a response that stood in the body of the first one reached the caller as the answer (200, "forged"), and with an empty body the host waited until the deadline (504 after 2 s). With 600 or 999 the caller got that status and body, or, with Not-Executed, a request that may run once went to a second engine. On the own API 000 and 999 of an engine counted as a refusal that says "not run" and "invalid request", and a plain service's 999 was passed on.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads and that aren't negative. backend.Conn skipped all below 200; the clients of engines and services compared only with 200 and 500. Ruled out: the relays, which pass on what these readers hand them.

Change: http1.Check refuses a status below 100 or above 599, and 101, which answers a request that this module never sends. backend.Conn asks it for each response, interim ones included, before anything of it is used; http1.Transport does so for engines and plain services of the own API. The attempt then failed and may have run: callers get 502, or the answer of another engine where the route allows a second attempt. The connection is closed.

Measured: TestResponseWithInvalidStatusIsNoAnswer failed in all 21 cases before and passes; TestMalformedResponseIsNoRefusal and TestMalformedResponseIsNotReturned failed in both cases each and pass. go test -race of gateway, backend, engine, service and http1 passes.

Looked at besides: the store and the engines' load reports are compared with 200, where 000 was an error already; hosts speak JSON-RPC to each other and read no HTTP responses.

Conclusion: what decides is the range of RFC 9110, section 15, not the one status.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -16,6 +16,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mangopaddle/mangopaddle/http1"
 )
 
 const (
@@ -206,7 +208,8 @@
 }
 
 // read returns the matching response, of which it has read the header. It skips
-// interim responses and responses to other requests.
+// interim responses and responses to other requests. A malformed response of either kind is
+// an error, because it is uncertain where the next one begins.
 func (co *Conn) read(rq *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	unrelated := 0
 	for range maxResponses {
@@ -216,6 +219,9 @@
 			return nil, errors.Annotate(err, "header of the answer")
 		}
 		co.limited.remaining = -1
+		if err := http1.Check(response); err != nil {
+			return nil, errors.Trace(err)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/engine/client.go
+++ b/engine/client.go
@@ -20,6 +20,7 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/http1"
 	"github.com/mangopaddle/mangopaddle/keptconn"
 	"github.com/mangopaddle/mangopaddle/retry"
 )
@@ -49,7 +50,7 @@
 	streamIdleTimeout time.Duration
 
 	mu         sync.Mutex
-	transports map[string]*http.Transport
+	transports map[string]http1.Transport
 }
 
 // Option configures a Client.
@@ -72,7 +73,7 @@
 	cl := &Client{
 		clock:             clockwork.NewRealClock(),
 		streamIdleTimeout: defaultStreamIdleTimeout,
-		transports:        map[string]*http.Transport{},
+		transports:        map[string]http1.Transport{},
 	}
 	for _, opt := range opts {
 		opt(cl)
@@ -88,7 +89,7 @@
 	}
 }
 
-func (cl *Client) transportFor(address string) *http.Transport {
+func (cl *Client) transportFor(address string) http1.Transport {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	tr, ok := cl.transports[address]
@@ -99,15 +100,15 @@
 	return tr
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() http1.Transport {
+	return http1.Transport{Transport: &http.Transport{
 		DialContext:         keptconn.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		ReadBufferSize:      connBufferBytes,
 		WriteBufferSize:     connBufferBytes,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // resetTransport gives an engine a new connection pool. Pooled connections can
@@ -214,6 +215,9 @@
 		request.Header.Set(mp.HeaderLastEventID, strconv.FormatInt(int64(rq.ResumeAt), 10))
 	}
 	response, err := cl.transportFor(rq.Address).RoundTrip(request)
+	if err != nil {
+		use.Close() // the rest of a malformed response may follow
+	}
 	return response, use, err
 }
 
--- /dev/null
+++ b/http1/response.go
@@ -0,0 +1,34 @@
+// Package http1 refuses responses of HTTP/1.1 servers that net/http accepts although the
+// protocol forbids them. Where such a response ends, and what of it is its body, is uncertain.
+package http1
+
+import (
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// ErrMalformed reports a response that the protocol forbids. Callers may get its text, which
+// calls a response an answer.
+const ErrMalformed = errors.ConstError("malformed answer")
+
+// The status codes of RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// Check returns ErrMalformed if a response is malformed. The server may have run the request;
+// the connection must be closed, because what follows on it may be part of the response.
+func Check(response *http.Response) error {
+	return checkStatus(response.StatusCode)
+}
+
+// checkStatus checks a status code. 101 responds to a request to change the protocol, which
+// this module never sends.
+func checkStatus(status int) error {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return errors.Annotatef(ErrMalformed, "status %03d", status)
+	}
+	return nil
+}
