A response with an invalid field name is no answer

What callers saw: an engine in trouble sends a header in which the name of a field holds a blank, before the colon or inside. On the operators' platform the caller got 200 with the rest of the header. With "Transfer-Encoding : chunked" the body was the engine's with the sizes of its chunks, which is not the engine's body. Names with a control byte gave 502 already. On the own API a plain service's answer was passed on in the same way, and a refusal of an engine counted as "not run". A blank in the store's "Store-Era " was read as era 0, which looks like a store that came back from a copy.

Cause: net/textproto lets a blank stand in a name and keeps the name as a field of its own, so that it is never heeded; it refuses other bytes. Nothing checked the names after it. Ruled out: the way back to the caller, where net/http leaves such lines out.

Looked at besides: engines' load reports are JSON with a status that must be 200, of which no field of the header is used.

Conclusion: a header is refused as a whole, because a hidden field may be its framing.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -20,16 +20,22 @@
 // soundBody is an answer that any route may get.
 const soundBody = "id: 1\ndata: piece 1\n\n"
 
+// malformedBody is the body of malformed responses.
+const malformedBody = "id: 1\ndata: malformed 1\n\n"
+
+// identified are the fields with which a response to a request begins, with a verb for its ID.
+const identified = "Request-Id: %[1]s\r\n" + platform.HeaderSignature + ": s\r\nContent-Type: text/event-stream\r\n"
+
 // requireNoAnswer plays servers whose response to a request is malformed, with a verb for its
-// ID. Callers on routes that allow no second attempt must get an error that doesn't look like
+// ID, after which they keep the connection or close it. Callers on routes that allow no second attempt must get an error that doesn't look like
 // an answer, and those on other routes the answer of another server.
-func requireNoAnswer(t *testing.T, malformed string) {
+func requireNoAnswer(t *testing.T, malformed string, keepsConnection bool) {
 	t.Helper()
 	var begun atomic.Int64
 	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 		if begun.Add(1) == 1 {
 			co.Printf(malformed, rq.ID)
-			return true
+			return keepsConnection
 		}
 		co.Respond(rq, http.StatusOK, soundBody, "Content-Type: text/event-stream")
 		return true
@@ -58,7 +64,6 @@
 // protocol doesn't have, that are passed on, or taken for interim ones that an answer
 // follows. A host asks no server for another protocol, so that 101 is none either.
 func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
-	const fields = "\r\nRequest-Id: %[1]s\r\n" + platform.HeaderSignature + ": s\r\n"
 	forged := strings.ReplaceAll(forgedResponse, "%s", "%[1]s")
 	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
 		for name, rest := range map[string]string{
@@ -68,8 +73,47 @@
 		} {
 			t.Run(status+" "+name, func(t *testing.T) {
 				t.Parallel()
-				requireNoAnswer(t, "HTTP/1.1 "+status+" Odd"+fields+rest)
+				requireNoAnswer(t, "HTTP/1.1 "+status+" Odd\r\n"+identified+rest, true)
 			})
 		}
 	}
 }
+
+// requireNoAnswerWithLine plays responses with a line in their headers: beside a length, in
+// place of one, and before an interim response.
+func requireNoAnswerWithLine(t *testing.T, line string) {
+	t.Helper()
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(malformedBody))
+	requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+identified+length+line+"\r\n\r\n"+malformedBody, true)
+	requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+identified+line+"\r\n\r\n"+malformedBody, false)
+	requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+identified+length+"\r\n"+malformedBody, true)
+}
+
+// requireNoAnswerWithFraming plays a response in chunks of which only a line in its header
+// tells, that doesn't count as the field Transfer-Encoding.
+func requireNoAnswerWithFraming(t *testing.T, line string) {
+	t.Helper()
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(malformedBody), malformedBody)
+	requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+identified+line+"\r\n\r\n"+chunks, false)
+}
+
+// TestResponseWithInvalidFieldNameIsNoAnswer guards against responses in whose header the name
+// of a field holds a blank or a control byte. Without that field the response may have another
+// body than the server's.
+func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, name := range []string{
+		"X Filler", "X-Filler ", "X-Filler\t", "X\tFiller", "X\x01Filler", "\x00X-Filler", "X-Filler\x1f", "X\x7fFiller", "X\rFiller",
+		"X\xa0Filler", "X(Filler)", "", "Content-Length ", "Request-Id ",
+	} {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswerWithLine(t, fmt.Sprintf("%s: %d", name, len(malformedBody)))
+		})
+	}
+	for _, name := range []string{"Transfer-Encoding ", "Transfer Encoding", "Transfer-Encoding\t", "Transfer-Encoding\x01"} {
+		t.Run(fmt.Sprintf("%q", name), func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswerWithFraming(t, name+": chunked")
+		})
+	}
+}
--- a/http1/response.go
+++ b/http1/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed reports a response that the protocol forbids. Callers may get its text, which
@@ -21,7 +22,10 @@
 // Check returns ErrMalformed if a response is malformed. The server may have run the request;
 // the connection must be closed, because what follows on it may be part of the response.
 func Check(response *http.Response) error {
-	return checkStatus(response.StatusCode)
+	if err := checkStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return checkFieldNames(response.Header)
 }
 
 // checkStatus checks a status code. 101 responds to a request to change the protocol, which
@@ -32,3 +36,14 @@
 	}
 	return nil
 }
+
+// checkFieldNames checks the names of the fields of a header. net/http takes one with a blank
+// for a field of its own, so that one such as "Content-Length " is not heeded.
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Annotatef(ErrMalformed, "field %.40q", name)
+		}
+	}
+	return nil
+}
--- a/http1/transport_test.go
+++ b/http1/transport_test.go
@@ -53,6 +53,13 @@
 	require.Equal(t, 599, status)
 }
 
+func TestInvalidFieldNameIsRefused(t *testing.T) {
+	for _, name := range []string{"X Filler", "X-Filler ", "Content-Length ", "Transfer-Encoding "} {
+		_, _, err := roundTrip(t, "HTTP/1.1 200 OK\r\n"+name+": 5\r\n\r\nsound")
+		require.ErrorIs(t, err, http1.ErrMalformed, name)
+	}
+}
+
 func TestInvalidStatusIsRefused(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
 		_, _, err := roundTrip(t, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
