A response with a folded line in its header is no answer

What callers saw: an engine in trouble sends a header in which a line begins with a blank. The caller got 200 with that line as a part of the value of the field before it, which may be the engine's signature. With " Transfer-Encoding: chunked" the body was the engine's with the sizes of its chunks. On the own API a plain service's answer was passed on in the same way.

Cause: net/textproto appends a line that begins with a blank to the field before it (RFC 9112, section 5.2: a gateway must refuse such a response or replace the line). The header that it returns doesn't show this, so http1.Check can't.

Change: http1.FoldDetector scans the bytes of a header. backend's reader of a header, now in a file of its own, feeds it with what the connection reads while a header is due, and with what was buffered before; keptconn does so for the own API, from the moment at which a request gets the connection. keptconn.Use.Check now closes the connection of any malformed response, which makes http1.Transport superfluous: it is gone, with its tests; those of http1.Check ask the same of the same responses.

Left out: the store's connections aren't scanned; there a folded line can only make the era unreadable.

Conclusion: refusing is what is sure: whether the server meant a value or a field can't be told.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -22,10 +22,9 @@
 
 const (
 	readBufferBytes       = 4 << 10
-	maxHeaderBytes        = 64 << 10 // of a response
-	minAsyncBodyBytes     = 4 << 10  // longer bodies are written concurrently with reading
-	maxResponses          = 8        // responses read for one request, with interim (1xx) and skipped ones
-	maxUnrelatedResponses = 4        // responses to other requests that are skipped
+	minAsyncBodyBytes     = 4 << 10 // longer bodies are written concurrently with reading
+	maxResponses          = 8       // responses read for one request, with interim (1xx) and skipped ones
+	maxUnrelatedResponses = 4       // responses to other requests that are skipped
 	// maxUnrelatedBytes is the longest body of a response to another request that
 	// is skipped.
 	maxUnrelatedBytes = 256 << 10
@@ -33,22 +32,16 @@
 	maxRefused = 64
 )
 
-// Errors of an exchange. Callers may get their texts, which call a response an
-// answer.
-const (
-	// ErrHeaderTooLong reports that the header of a response is too long.
-	ErrHeaderTooLong = errors.ConstError("malformed answer")
-	// ErrNoMatchingResponse reports that only interim responses or responses to other
-	// requests arrived.
-	ErrNoMatchingResponse = errors.ConstError("answers to other requests")
-)
+// ErrNoMatchingResponse reports that only interim responses or responses to other requests
+// arrived. Callers may get its text, which calls a response an answer.
+const ErrNoMatchingResponse = errors.ConstError("answers to other requests")
 
 // Conn is a connection to a backend server. It carries one request at a time.
 type Conn struct {
 	net     net.Conn
 	raw     syscall.RawConn
-	limited *limitedReader
-	reader  *bufio.Reader
+	header  *headerReader
+	reader  *bufio.Reader // of header
 	address string
 	// setUpTime is how long the connection took to open; zero once it was taken.
 	setUpTime time.Duration
@@ -61,36 +54,10 @@
 	bodyWritten chan error  // result of writing a long body concurrently
 }
 
-// limitedReader limits how many bytes can be read until the limit is lifted. It reserves
-// them: they become the header of a response.
-type limitedReader struct {
-	reader      io.Reader
-	remaining   int64 // bytes; negative for no limit
-	reservation Reservation
-}
-
-// Read implements io.Reader. It returns ErrMalformed once the limit is reached.
-func (lr *limitedReader) Read(data []byte) (int, error) {
-	if lr.remaining == 0 {
-		return 0, errors.Annotate(ErrHeaderTooLong, "header too long")
-	}
-	if lr.remaining > 0 && int64(len(data)) > lr.remaining {
-		data = data[:lr.remaining]
-	}
-	if lr.remaining > 0 && !lr.reservation.Hold(int(maxHeaderBytes-lr.remaining)+len(data)) {
-		return 0, errors.Annotate(ErrHeaderTooLong, "no room for a long header")
-	}
-	count, err := lr.reader.Read(data)
-	if lr.remaining > 0 {
-		lr.remaining -= int64(count)
-	}
-	return count, err
-}
-
 // newConn wraps a connection that was just opened.
 func newConn(nc net.Conn, address string, buffers *Buffers) *Conn {
-	co := &Conn{net: nc, address: address, limited: &limitedReader{reader: nc, remaining: -1, reservation: buffers.Reserve()}}
-	co.reader = bufio.NewReaderSize(co.limited, readBufferBytes)
+	co := &Conn{net: nc, address: address, header: newHeaderReader(nc, buffers)}
+	co.reader = bufio.NewReaderSize(co.header, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		co.raw, _ = sc.SyscallConn()
 	}
@@ -213,15 +180,10 @@
 func (co *Conn) read(rq *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	unrelated := 0
 	for range maxResponses {
-		co.limited.remaining = maxHeaderBytes
-		response, err := http.ReadResponse(co.reader, rq)
+		response, err := co.readHeader(rq)
 		if err != nil {
 			return nil, errors.Annotate(err, "header of the answer")
 		}
-		co.limited.remaining = -1
-		if err := http1.Check(response); err != nil {
-			return nil, errors.Trace(err)
-		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -244,6 +206,28 @@
 	return nil, errors.Trace(ErrNoMatchingResponse)
 }
 
+// readHeader reads the header of the next response, which it checks.
+func (co *Conn) readHeader(rq *http.Request) (*http.Response, error) {
+	co.header.begin(co.buffered())
+	response, err := http.ReadResponse(co.reader, rq)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := co.header.end(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := http1.Check(response); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return response, nil
+}
+
+// buffered returns the bytes that were received and not read yet.
+func (co *Conn) buffered() []byte {
+	data, _ := co.reader.Peek(co.reader.Buffered()) // never waits
+	return data
+}
+
 // Interrupt closes a connection that another goroutine sends on or reads from, which gets
 // an error.
 func (co *Conn) Interrupt() {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -196,7 +196,7 @@
 // put returns a connection to the pool after an exchange. The server's idle
 // timeout is zero if it is unknown.
 func (po *Pool) put(co *Conn, serverIdleTimeout time.Duration) {
-	co.limited.reservation.Release()
+	co.header.reservation.Release()
 	limit := defaultIdleTimeout
 	if serverIdleTimeout > 0 {
 		limit = min(limit, time.Duration(float64(serverIdleTimeout)*idleTimeoutRatio))
@@ -208,7 +208,7 @@
 }
 
 func (po *Pool) drop(co *Conn) {
-	co.limited.reservation.Release()
+	co.header.reservation.Release()
 	co.broken.Store(true)
 	_ = co.net.Close()
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -20,7 +20,6 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
-	"github.com/mangopaddle/mangopaddle/http1"
 	"github.com/mangopaddle/mangopaddle/keptconn"
 	"github.com/mangopaddle/mangopaddle/retry"
 )
@@ -50,7 +49,7 @@
 	streamIdleTimeout time.Duration
 
 	mu         sync.Mutex
-	transports map[string]http1.Transport
+	transports map[string]*http.Transport
 }
 
 // Option configures a Client.
@@ -73,7 +72,7 @@
 	cl := &Client{
 		clock:             clockwork.NewRealClock(),
 		streamIdleTimeout: defaultStreamIdleTimeout,
-		transports:        map[string]http1.Transport{},
+		transports:        map[string]*http.Transport{},
 	}
 	for _, opt := range opts {
 		opt(cl)
@@ -89,7 +88,7 @@
 	}
 }
 
-func (cl *Client) transportFor(address string) http1.Transport {
+func (cl *Client) transportFor(address string) *http.Transport {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	tr, ok := cl.transports[address]
@@ -100,15 +99,15 @@
 	return tr
 }
 
-func newTransport() http1.Transport {
-	return http1.Transport{Transport: &http.Transport{
+func newTransport() *http.Transport {
+	return &http.Transport{
 		DialContext:         keptconn.Dial(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
 		IdleConnTimeout:     idleConnTimeout,
 		ReadBufferSize:      connBufferBytes,
 		WriteBufferSize:     connBufferBytes,
 		DisableCompression:  true,
-	}}
+	}
 }
 
 // resetTransport gives an engine a new connection pool. Pooled connections can
@@ -216,9 +215,12 @@
 	}
 	response, err := cl.transportFor(rq.Address).RoundTrip(request)
 	if err != nil {
-		use.Close() // the rest of a malformed response may follow
+		return nil, use, err
+	}
+	if err := use.Check(response); err != nil {
+		return nil, use, errors.Trace(err)
 	}
-	return response, use, err
+	return response, use, nil
 }
 
 // stopTimerOnEvent returns a function that stops the timer and then calls onEvent.
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -14,9 +14,10 @@
 // refusal, with which the caller would be told that the request is invalid or did not run.
 func TestMalformedResponseIsNoRefusal(t *testing.T) {
 	for name, head := range map[string]string{
-		"status 000": "HTTP/1.1 000 Odd\r\n",
-		"status 999": "HTTP/1.1 999 Odd\r\n",
-		"field name": "HTTP/1.1 503 Service Unavailable\r\nX Filler: 1\r\n",
+		"status 000":  "HTTP/1.1 000 Odd\r\n",
+		"status 999":  "HTTP/1.1 999 Odd\r\n",
+		"field name":  "HTTP/1.1 503 Service Unavailable\r\nX Filler: 1\r\n",
+		"folded line": "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n X-Filler: 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -117,3 +118,54 @@
 		})
 	}
 }
+
+// TestResponseWithFoldedLineIsNoAnswer guards against responses in whose header a line begins
+// with a blank. It would belong to the value of the field before it, the server's signature for
+// one.
+func TestResponseWithFoldedLineIsNoAnswer(t *testing.T) {
+	for _, line := range []string{" X-Filler: 1", "\tX-Filler: 1", " Content-Length: 1", "\tRequest-Id: other", " ", "\t", " folded"} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswerWithLine(t, line)
+		})
+	}
+	requireNoAnswerWithFraming(t, " Transfer-Encoding: chunked")
+}
+
+// TestSoundResponsesOfEachFramingAreRelayed guards against sound responses that are refused as
+// malformed: after interim ones, split over many packets, with unusual names and values.
+func TestSoundResponsesOfEachFramingAreRelayed(t *testing.T) {
+	const header = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + identified +
+		"x_!#$%%&'*+-.^`|~9: any value, \tblanks: and bytes \xa0\r\nEmpty:\r\n"
+	for name, rest := range map[string]string{
+		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(soundBody), soundBody),
+		"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(soundBody), soundBody),
+		"neither": "Connection: close\r\n\r\n" + soundBody,
+	} {
+		for _, atOnce := range []bool{true, false} {
+			t.Run(fmt.Sprint(name, " at once: ", atOnce), func(t *testing.T) {
+				t.Parallel()
+				handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+					response := fmt.Sprintf(header, rq.ID) + rest
+					size := 1
+					if atOnce {
+						size = len(response)
+					}
+					for piece := range slices.Chunk([]byte(response), size) {
+						co.Printf("%s", piece)
+					}
+					return name != "neither"
+				}
+				server := []*fakeserver.Server{startServer(t, handler)}
+				fx := newFixture(t, server, server)
+				for _, path := range []string{nonIdempotentPath, nonResumablePath, idempotentPath, resumablePath} {
+					got := fx.post(path, "r-1", "question")
+					require.NoError(t, got.err, path)
+					require.Equal(t, http.StatusOK, got.status, path)
+					require.Equal(t, soundBody, got.body, path)
+					require.Equal(t, "any value, \tblanks: and bytes \xa0", got.header.Get("x_!#$%&'*+-.^`|~9"))
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/http1/response_test.go
@@ -0,0 +1,45 @@
+package http1_test
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/http1"
+)
+
+// check parses a response and checks it.
+func check(t *testing.T, raw string) error {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	return http1.Check(response)
+}
+
+func TestSoundResponsePasses(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.0 200\nx_!#$%&'*+-.^`|~9: any value, \tblanks: and bytes \xa0\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 599 Odd\r\n\r\n",
+	} {
+		require.NoError(t, check(t, raw), "%q", raw)
+	}
+}
+
+func TestInvalidStatusIsRefused(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		require.ErrorIs(t, check(t, "HTTP/1.1 "+status+" Odd\r\n\r\n"), http1.ErrMalformed, status)
+	}
+}
+
+func TestInvalidFieldNameIsRefused(t *testing.T) {
+	for _, name := range []string{"X Filler", "X-Filler ", "Content-Length ", "Transfer-Encoding "} {
+		require.ErrorIs(t, check(t, "HTTP/1.1 200 OK\r\n"+name+": 5\r\n\r\n"), http1.ErrMalformed, name)
+	}
+}
--- a/keptconn/keptconn.go
+++ b/keptconn/keptconn.go
@@ -1,14 +1,18 @@
-// Package keptconn remembers which requests the connections of an http.Transport have
-// carried. A server may write an earlier answer once more; net/http takes it for the one
-// to the present request.
+// Package keptconn tells of the responses of an http.Transport whether they are whole
+// responses to the present request. It remembers which requests the connections have carried:
+// a server may write an earlier answer once more, which net/http takes for the one to the
+// present request.
 package keptconn
 
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"sync"
+
+	"github.com/mangopaddle/mangopaddle/http1"
 )
 
 // maxIDs is the number of request IDs, the latest, that a connection remembers.
@@ -18,8 +22,9 @@
 type Conn struct {
 	net.Conn
 
-	mu  sync.Mutex
-	ids []string
+	mu    sync.Mutex
+	ids   []string
+	folds http1.FoldDetector // of the response to the present request
 }
 
 // Dial returns a function for http.Transport that opens such connections.
@@ -33,6 +38,22 @@
 	}
 }
 
+// Read implements net.Conn.
+func (co *Conn) Read(data []byte) (int, error) {
+	count, err := co.Conn.Read(data)
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.folds.Scan(data[:count])
+	return count, err
+}
+
+// checkFolds returns http1.ErrMalformed if the header of the response has a folded line.
+func (co *Conn) checkFolds() error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.folds.Check()
+}
+
 // Use is the use of a connection by one request. It is safe for concurrent use.
 type Use struct {
 	id string
@@ -63,6 +84,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	us.conn, us.earlier = co, slices.Clone(co.ids)
+	co.folds.Reset()
 	co.ids = append(co.ids, us.id)
 	if excess := len(co.ids) - maxIDs; excess > 0 {
 		co.ids = slices.Delete(co.ids, 0, excess)
@@ -92,6 +114,28 @@
 	return us.reused && (answered != us.id || slices.Contains(us.earlier, us.id))
 }
 
+// Check returns http1.ErrMalformed if a response on the connection is malformed. It then closes
+// the connection, on which the rest of the response may follow.
+func (us *Use) Check(response *http.Response) error {
+	err := http1.Check(response)
+	if err == nil {
+		err = us.checkFolds()
+	}
+	if err != nil {
+		us.Close()
+	}
+	return err
+}
+
+func (us *Use) checkFolds() error {
+	us.mu.Lock()
+	defer us.mu.Unlock()
+	if us.conn == nil {
+		return nil
+	}
+	return us.conn.checkFolds()
+}
+
 // Close closes the connection, on which another answer may follow.
 func (us *Use) Close() {
 	us.mu.Lock()
--- a/service/client.go
+++ b/service/client.go
@@ -13,7 +13,6 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/blackboard"
 	"github.com/mangopaddle/mangopaddle/config"
-	"github.com/mangopaddle/mangopaddle/http1"
 	"github.com/mangopaddle/mangopaddle/keptconn"
 )
 
@@ -22,19 +21,19 @@
 // Client calls services and holds the connections to them. It is safe for
 // concurrent use.
 type Client struct {
-	pooled  http1.Transport // reuses connections; for idempotent services
-	oneShot http1.Transport // opens a new connection for each call
+	pooled  *http.Transport // reuses connections; for idempotent services
+	oneShot *http.Transport // opens a new connection for each call
 }
 
 // New returns a client and a function that closes its idle connections.
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	cl := &Client{
-		pooled: http1.Transport{Transport: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true}},
+		pooled: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true},
 		// http.Transport retries a request by itself when a reused connection
 		// turns out to be closed, and takes an Idempotency-Key header as
 		// permission to do so. It never retries on a new connection.
-		oneShot: http1.Transport{Transport: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true, DisableKeepAlives: true}},
+		oneShot: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true, DisableKeepAlives: true},
 	}
 	return cl, cl.pooled.CloseIdleConnections
 }
@@ -97,9 +96,11 @@
 	request.ContentLength = int64(len(call.Body))
 	response, err := cl.transport(se).RoundTrip(request)
 	if err != nil {
-		use.Close() // the rest of a malformed response may follow
 		return nil, use.Sent(), err
 	}
+	if err := use.Check(response); err != nil {
+		return nil, true, err
+	}
 	defer response.Body.Close()
 	answered := response.Header.Get(mp.HeaderRequestID)
 	if use.IsEarlier(answered) {
@@ -116,7 +117,7 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, true, nil
 }
 
-func (cl *Client) transport(se *blackboard.Service) http1.Transport {
+func (cl *Client) transport(se *blackboard.Service) *http.Transport {
 	if se.Idempotent {
 		return cl.pooled
 	}
