A reset during an upload does not look like the end of an answer

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer, also as a stream, and one of over 256 KiB that was relayed as it came. On the own API a plain service's answer was cut in the same way.

Cause: the system reports the error of a reset to one call only. A long body is written by one goroutine while another reads the answer. If the write gets the error, the read gets io.EOF, and that is how an answer with neither a length nor chunks ends. Nobody looked at the error of the write. Ruled out: the relays (they return the errors that reads give them), and answers with a length or chunks, whose end is known.

Change: tcp.Conn, a connection whose read at the end waits for a write that is under way and returns its error in place of io.EOF. backend and keptconn wrap their connections in it, so that nothing above them asks. It has ReadFrom, by which net/http writes long bodies, so that they take as many system calls as before. A peer that has closed its side in order and reads on is no error. fakeserver can leave bodies unread.

Measured: TestCutResponseToAnUploadIsNotComplete failed for buffered, empty and partly relayed answers and for streams; a stream without an event passed. TestUploadWhoseResponseIsCutIsAskedForAgain and service's TestCutResponseToAnUploadIsNotReturned failed, and TestResetThatAWriteGetsIsNoEnd without the change to Read. All pass now.

Conclusion: an engine that closes in order and then resets the upload also counts as broken off: whether the answer was whole can't be told.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mangopaddle/mangopaddle/http1"
+	"github.com/mangopaddle/mangopaddle/tcp"
 )
 
 const (
@@ -38,7 +39,7 @@
 
 // Conn is a connection to a backend server. It carries one request at a time.
 type Conn struct {
-	net     net.Conn
+	net     *tcp.Conn
 	raw     syscall.RawConn
 	header  *headerReader
 	reader  *bufio.Reader // of header
@@ -56,7 +57,8 @@
 
 // newConn wraps a connection that was just opened.
 func newConn(nc net.Conn, address string, buffers *Buffers) *Conn {
-	co := &Conn{net: nc, address: address, header: newHeaderReader(nc, buffers)}
+	tc := tcp.New(nc)
+	co := &Conn{net: tc, address: address, header: newHeaderReader(tc, buffers)}
 	co.reader = bufio.NewReaderSize(co.header, readBufferBytes)
 	if sc, ok := nc.(syscall.Conn); ok {
 		co.raw, _ = sc.SyscallConn()
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -119,9 +119,9 @@
 	require.Eventually(fx.t, condition, testTimeout, 5*time.Millisecond)
 }
 
-func startServer(t *testing.T, handler fakeserver.Handler) *fakeserver.Server {
+func startServer(t *testing.T, handler fakeserver.Handler, opts ...fakeserver.Option) *fakeserver.Server {
 	t.Helper()
-	se, stop, err := fakeserver.New(handler)
+	se, stop, err := fakeserver.New(handler, opts...)
 	require.NoError(t, err)
 	t.Cleanup(stop)
 	return se
--- a/keptconn/keptconn.go
+++ b/keptconn/keptconn.go
@@ -13,6 +13,7 @@
 	"sync"
 
 	"github.com/mangopaddle/mangopaddle/http1"
+	"github.com/mangopaddle/mangopaddle/tcp"
 )
 
 // maxIDs is the number of request IDs, the latest, that a connection remembers.
@@ -20,7 +21,7 @@
 
 // Conn is a connection that remembers the IDs of the requests that it has carried.
 type Conn struct {
-	net.Conn
+	*tcp.Conn
 
 	mu    sync.Mutex
 	ids   []string
@@ -34,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: nc}, nil
+		return &Conn{Conn: tcp.New(nc)}, nil
 	}
 }
 
