A look at unread bytes does not hide a reset

An answer with neither a length nor chunks, whose engine falls silent and then resets the connection, could reach the caller as complete.

Conn.HasUnread, by which a hedge asks whether a silent engine is silent or this host late, peeks at the connection. A peek takes the error of a reset like any other call, and HasUnread dropped it; the read that followed got io.EOF.

Change: the peek is part of tcp.Conn, which keeps its error for the read at the end. The look at idle connections before they are used again uses the same peek; it stood twice in backend.

Measured: TestResetThatHasUnreadSeesIsNoEnd failed in three of three runs and passes.

Conclusion: all calls on a connection to a backend server now go through tcp.Conn.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -11,11 +11,9 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 
 	"github.com/mangopaddle/mangopaddle/http1"
 	"github.com/mangopaddle/mangopaddle/tcp"
@@ -40,7 +38,6 @@
 // Conn is a connection to a backend server. It carries one request at a time.
 type Conn struct {
 	net     *tcp.Conn
-	raw     syscall.RawConn
 	header  *headerReader
 	reader  *bufio.Reader // of header
 	address string
@@ -60,45 +57,16 @@
 	tc := tcp.New(nc)
 	co := &Conn{net: tc, address: address, header: newHeaderReader(tc, buffers)}
 	co.reader = bufio.NewReaderSize(co.header, readBufferBytes)
-	if sc, ok := nc.(syscall.Conn); ok {
-		co.raw, _ = sc.SyscallConn()
-	}
 	return co
 }
 
 // isReusable reports whether an idle connection is still open and has received
 // no unsolicited data.
-func (co *Conn) isReusable() bool {
-	if co.reader.Buffered() > 0 {
-		return false
-	}
-	if co.raw == nil {
-		return true
-	}
-	open := false
-	err := co.raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
+func (co *Conn) isReusable() bool { return co.reader.Buffered() == 0 && co.net.IsIdle() }
 
 // HasUnread reports whether the server has sent bytes that were not read yet. It may be
 // called while the connection is being read.
-func (co *Conn) HasUnread() bool {
-	if co.raw == nil {
-		return false
-	}
-	unread := false
-	_ = co.raw.Control(func(fd uintptr) { // fails if the connection is closed
-		var buf [1]byte
-		count, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		unread = err == nil && count > 0
-	})
-	return unread
-}
+func (co *Conn) HasUnread() bool { return co.net.HasUnread() }
 
 // TakeSetUpTime returns how long the connection took to open, which is one round trip, and zero
 // when it is called again.
--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangopaddle/mangopaddle/backend"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
 // TestUnreadBytesShowThatTheHostIsLate guards against a sound server that counts as silent
@@ -40,3 +42,34 @@
 	co.Interrupt()
 	require.False(t, co.HasUnread())
 }
+
+// TestResetThatHasUnreadSeesIsNoEnd guards against a reset of which the reader of a body doesn't
+// hear because the host has asked meanwhile whether there is anything to read.
+func TestResetThatHasUnreadSeesIsNoEnd(t *testing.T) {
+	server, stop, err := fakeserver.New(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.BeginUnframed(rq)
+		co.Printf("part")
+		time.Sleep(20 * time.Millisecond) // a reset drops what the host hasn't read
+		co.Reset()
+		return false
+	})
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	pool, closePool := backend.New()
+	t.Cleanup(closePool)
+	co, err := pool.Get(t.Context(), server.Address(), 0)
+	require.NoError(t, err)
+	rq, err := http.NewRequest(http.MethodGet, "http://server/", nil)
+	require.NoError(t, err)
+	ex, err := co.Send(t.Context(), pool, rq, nil, func(*http.Response) bool { return true })
+	require.NoError(t, err)
+	defer ex.Abort()
+	_, err = io.ReadFull(ex.Response.Body, make([]byte, len("part")))
+	require.NoError(t, err)
+	for range 10 {
+		require.False(t, co.HasUnread())
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err = io.ReadAll(ex.Response.Body)
+	require.True(t, backend.IsBrokenOff(err), "%v", err)
+}
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -3,28 +3,42 @@
 package tcp
 
 import (
+	"cmp"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
-// Conn is a TCP connection. The system reports a reset to one call only. If that is a write,
-// the reads that follow get io.EOF, as if the peer had sent all that it wanted to send. Those
-// of a Conn get the error of the write instead.
+// Conn is a TCP connection. The system reports a reset to one call only. If that is a write or
+// a look at what is unread, the reads that follow get io.EOF, as if the peer had sent all that
+// it wanted to send. Those of a Conn get the error of that call instead.
 type Conn struct {
 	net.Conn
+	raw syscall.RawConn // nil if the connection has no file descriptor
 
 	writeMu  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed
+
+	peekMu  sync.Mutex // held during a peek
+	peekErr error      // of the first peek that failed
 }
 
 // New wraps a connection.
-func New(nc net.Conn) *Conn { return &Conn{Conn: nc} }
+func New(nc net.Conn) *Conn {
+	co := &Conn{Conn: nc}
+	if sc, ok := nc.(syscall.Conn); ok {
+		co.raw, _ = sc.SyscallConn() // fails if the connection is closed
+	}
+	return co
+}
 
 // Read implements net.Conn. At the end of the connection it waits for a write that is under
-// way and returns its error, io.EOF if there is none.
+// way. It returns the error of a write or a look that has failed, io.EOF if none has.
 func (co *Conn) Read(data []byte) (int, error) {
 	count, err := co.Conn.Read(data)
 	if errors.Is(err, io.EOF) {
@@ -37,10 +51,9 @@
 func (co *Conn) endErr() error {
 	co.writeMu.Lock()
 	defer co.writeMu.Unlock()
-	if co.writeErr != nil {
-		return co.writeErr
-	}
-	return io.EOF
+	co.peekMu.Lock()
+	defer co.peekMu.Unlock()
+	return cmp.Or(co.writeErr, co.peekErr, io.EOF)
 }
 
 // Write implements net.Conn.
@@ -68,3 +81,40 @@
 		co.writeErr = err
 	}
 }
+
+// HasUnread reports whether the peer has sent bytes that were not read yet. It may be called
+// while the connection is read or written.
+func (co *Conn) HasUnread() bool {
+	count, err := co.peek()
+	return err == nil && count > 0
+}
+
+// IsIdle reports whether the connection is open and the peer has sent no bytes that were not
+// read yet.
+func (co *Conn) IsIdle() bool {
+	_, err := co.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek looks at the next byte without waiting for it. It returns the number of bytes, zero at
+// the end of the connection, or EAGAIN if there is none yet.
+func (co *Conn) peek() (int, error) {
+	if co.raw == nil {
+		return 0, unix.EAGAIN
+	}
+	co.peekMu.Lock()
+	defer co.peekMu.Unlock()
+	var count int
+	var peekErr error
+	err := co.raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		count, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err // the connection is closed
+	}
+	if peekErr != nil && peekErr != unix.EAGAIN && co.peekErr == nil {
+		co.peekErr = os.NewSyscallError("recvfrom", peekErr)
+	}
+	return count, peekErr
+}
