The version of a response decides on its framing

What callers saw: with HTTP/1.0 and "Transfer-Encoding: chunked", on both fronts, a success whose body was the engine's with the sizes of its chunks, cut off at its Content-Length if it had one too. Answers of versions 0.9, 2.0 and 9.9 were passed on.

Cause: net/http removes the field Transfer-Encoding of a response in HTTP/1.0 and reads on as if it had not been there (RFC 9112, section 6.1, calls the framing faulty). It takes any digits for a version.

Change: the detector of folded lines is http1.Scanner now, which finds that field too; it looks at the beginning of each line. http1.Check refuses versions other than 1.x. Answers in HTTP/1.0 with a length, or that end with their connection, are passed on as before.

--- a/backend/header.go
+++ b/backend/header.go
@@ -15,13 +15,13 @@
 // text, which calls a response an answer.
 const ErrHeaderTooLong = errors.ConstError("malformed answer")
 
-// headerReader reads a connection. While it reads the header of a response it looks for
-// folded lines, limits the number of bytes and reserves them.
+// headerReader reads a connection. While it reads the header of a response it scans it, limits
+// the number of bytes and reserves them.
 type headerReader struct {
 	reader      io.Reader
 	remaining   int64 // bytes; negative outside a header
 	reservation Reservation
-	folds       http1.FoldDetector
+	scanner     http1.Scanner
 }
 
 func newHeaderReader(reader io.Reader, buffers *Buffers) *headerReader {
@@ -31,14 +31,14 @@
 // begin expects a header that begins with bytes which were read already.
 func (hr *headerReader) begin(buffered []byte) {
 	hr.remaining = maxHeaderBytes
-	hr.folds.Reset()
-	hr.folds.Scan(buffered)
+	hr.scanner.Reset()
+	hr.scanner.Scan(buffered)
 }
 
 // end returns to the state outside a header. It returns an error if the header is malformed.
 func (hr *headerReader) end() error {
 	hr.remaining = -1
-	return hr.folds.Check()
+	return hr.scanner.Err()
 }
 
 // Read implements io.Reader. In a header it returns ErrHeaderTooLong once the limit is
@@ -58,6 +58,6 @@
 	}
 	count, err := hr.reader.Read(data)
 	hr.remaining -= int64(count)
-	hr.folds.Scan(data[:count])
+	hr.scanner.Scan(data[:count])
 	return count, err
 }
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -135,18 +135,20 @@
 // TestSoundResponsesOfEachFramingAreRelayed guards against sound responses that are refused as
 // malformed: after interim ones, split over many packets, with unusual names and values.
 func TestSoundResponsesOfEachFramingAreRelayed(t *testing.T) {
-	const header = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n" + identified +
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	const fields = " 200 OK\r\n" + identified +
 		"x_!#$%%&'*+-.^`|~9: any value, \tblanks: and bytes \xa0\r\nEmpty:\r\n"
-	for name, rest := range map[string]string{
-		"length":  fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(soundBody), soundBody),
-		"chunks":  fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(soundBody), soundBody),
-		"neither": "Connection: close\r\n\r\n" + soundBody,
+	for name, raw := range map[string]string{
+		"length":      interim + "HTTP/1.1" + fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(soundBody)) + soundBody,
+		"chunks":      interim + "HTTP/1.1" + fields + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(soundBody), soundBody),
+		"version 1.0": "HTTP/1.0" + fields + "\r\n" + soundBody,
+		"neither":     interim + "HTTP/1.1" + fields + "Connection: close\r\n\r\n" + soundBody,
 	} {
 		for _, atOnce := range []bool{true, false} {
 			t.Run(fmt.Sprint(name, " at once: ", atOnce), func(t *testing.T) {
 				t.Parallel()
 				handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
-					response := fmt.Sprintf(header, rq.ID) + rest
+					response := fmt.Sprintf(raw, rq.ID)
 					size := 1
 					if atOnce {
 						size = len(response)
@@ -154,7 +156,7 @@
 					for piece := range slices.Chunk([]byte(response), size) {
 						co.Printf("%s", piece)
 					}
-					return name != "neither"
+					return name == "length" || name == "chunks"
 				}
 				server := []*fakeserver.Server{startServer(t, handler)}
 				fx := newFixture(t, server, server)
@@ -169,3 +171,23 @@
 		}
 	}
 }
+
+// TestResponseOfAnotherVersionIsNoAnswer guards against responses whose version says that their
+// framing is not the one that they have, or that the protocol is another one.
+func TestResponseOfAnotherVersionIsNoAnswer(t *testing.T) {
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(malformedBody), malformedBody)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(malformedBody))
+	for name, malformed := range map[string]string{
+		"chunks in 1.0":              "HTTP/1.0 200 OK\r\n" + identified + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunks in 1.0, in capitals": "HTTP/1.0 200 OK\n" + strings.ReplaceAll(identified, "\r", "") + "TRANSFER-ENCODING:chunked\n\n" + chunks,
+		"chunks in 1.0, length":      "HTTP/1.0 200 OK\r\n" + identified + "Transfer-Encoding: chunked\r\n" + length + "\r\n" + chunks,
+		"version 0.9":                "HTTP/0.9 200 OK\r\n" + identified + length + "\r\n" + malformedBody,
+		"version 2.0":                "HTTP/2.0 200 OK\r\n" + identified + length + "\r\n" + malformedBody,
+		"version 9.9, interim":       "HTTP/9.9 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + identified + length + "\r\n" + malformedBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, malformed, false)
+		})
+	}
+}
--- a/http1/response.go
+++ b/http1/response.go
@@ -13,6 +13,9 @@
 // calls a response an answer.
 const ErrMalformed = errors.ConstError("malformed answer")
 
+// protocolMajor is the first number of the versions that this module speaks.
+const protocolMajor = 1
+
 // The status codes of RFC 9110, section 15.
 const (
 	minStatus = 100
@@ -20,8 +23,12 @@
 )
 
 // Check returns ErrMalformed if a response is malformed. The server may have run the request;
-// the connection must be closed, because what follows on it may be part of the response.
+// the connection must be closed, because what follows on it may be part of the response. A
+// Scanner finds the faults that don't show in a http.Response.
 func Check(response *http.Response) error {
+	if response.ProtoMajor != protocolMajor {
+		return errors.Annotatef(ErrMalformed, "version %s", response.Proto)
+	}
 	if err := checkStatus(response.StatusCode); err != nil {
 		return err
 	}
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -38,6 +38,12 @@
 	}
 }
 
+func TestOtherVersionIsRefused(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9"} {
+		require.ErrorIs(t, check(t, version+" 200 OK\r\n\r\n"), http1.ErrMalformed, version)
+	}
+}
+
 func TestInvalidFieldNameIsRefused(t *testing.T) {
 	for _, name := range []string{"X Filler", "X-Filler ", "Content-Length ", "Transfer-Encoding "} {
 		require.ErrorIs(t, check(t, "HTTP/1.1 200 OK\r\n"+name+": 5\r\n\r\n"), http1.ErrMalformed, name)
--- a/keptconn/keptconn.go
+++ b/keptconn/keptconn.go
@@ -23,9 +23,9 @@
 type Conn struct {
 	*tcp.Conn
 
-	mu    sync.Mutex
-	ids   []string
-	folds http1.FoldDetector // of the response to the present request
+	mu      sync.Mutex
+	ids     []string
+	scanner http1.Scanner // of the response to the present request
 }
 
 // Dial returns a function for http.Transport that opens such connections.
@@ -44,15 +44,15 @@
 	count, err := co.Conn.Read(data)
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.folds.Scan(data[:count])
+	co.scanner.Scan(data[:count])
 	return count, err
 }
 
-// checkFolds returns http1.ErrMalformed if the header of the response has a folded line.
-func (co *Conn) checkFolds() error {
+// scanErr returns http1.ErrMalformed if the header of the response is malformed.
+func (co *Conn) scanErr() error {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	return co.folds.Check()
+	return co.scanner.Err()
 }
 
 // Use is the use of a connection by one request. It is safe for concurrent use.
@@ -85,7 +85,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	us.conn, us.earlier = co, slices.Clone(co.ids)
-	co.folds.Reset()
+	co.scanner.Reset()
 	co.ids = append(co.ids, us.id)
 	if excess := len(co.ids) - maxIDs; excess > 0 {
 		co.ids = slices.Delete(co.ids, 0, excess)
@@ -120,7 +120,7 @@
 func (us *Use) Check(response *http.Response) error {
 	err := http1.Check(response)
 	if err == nil {
-		err = us.checkFolds()
+		err = us.scanErr()
 	}
 	if err != nil {
 		us.Close()
@@ -128,13 +128,13 @@
 	return err
 }
 
-func (us *Use) checkFolds() error {
+func (us *Use) scanErr() error {
 	us.mu.Lock()
 	defer us.mu.Unlock()
 	if us.conn == nil {
 		return nil
 	}
-	return us.conn.checkFolds()
+	return us.conn.scanErr()
 }
 
 // Close closes the connection, on which another answer may follow.
--- a/service/malformed_test.go
+++ b/service/malformed_test.go
@@ -18,6 +18,7 @@
 		"field name":                       "HTTP/1.1 200 OK\r\nX Filler: 1\r\nContent-Length: 4\r\n\r\nodd.",
 		"folded line":                      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n X-Filler: 1\r\nContent-Length: 4\r\n\r\nodd.",
 		"folded after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n Transfer-Encoding: chunked\r\n\r\n4\r\nodd.\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":               "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nodd.\r\n0\r\n\r\n",
 		"framing":                          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nodd.\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
