--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -101,3 +102,99 @@
 	require.Equal(t, http.StatusOK, got.status)
 	require.Len(t, got.body, len(whole))
 }
+
+// TestStreamThatEndsInsideAnEventIsNotComplete plays a stream without a length that ends
+// with its connection in the middle of an event.
+func TestStreamThatEndsInsideAnEventIsNotComplete(t *testing.T) {
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.Printf(streamBegin+"id: 1\ndata: piece 1\n\nid: 2\nda", rq.ID)
+		return false
+	}
+	fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler)})
+	got := fx.post(nonResumablePath, "r-1", "prompt")
+	require.Error(t, got.err, "the stream must not look complete")
+	require.NotContains(t, got.body, "id: 2")
+}
+
+// TestCutAnswerWithNeitherLengthNorChunksIsNotComplete guards against an answer that ends
+// with its connection, is cut, and reaches the caller as a whole one. The second server
+// answers in full.
+func TestCutAnswerWithNeitherLengthNorChunksIsNotComplete(t *testing.T) {
+	const whole = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+	header := func(co *fakeserver.Conn, rq fakeserver.Request) {
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\nConnection: close\r\n\r\n", rq.ID, platform.HeaderSignature)
+	}
+	for name, cut := range map[string]func(*fakeserver.Conn){
+		"before the first event":      func(*fakeserver.Conn) {},
+		"inside an event":             func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: o") },
+		"reset before an event":       func(co *fakeserver.Conn) { co.Reset() },
+		"reset between two events":    func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\n"); co.Reset() },
+		"inside the second event":     func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\nid: 2") },
+		"reset inside a second event": func(co *fakeserver.Conn) { co.Printf("id: 1\ndata: one\n\nid: 2"); co.Reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				header(co, rq)
+				if calls.Add(1) == 1 {
+					cut(co)
+					return false
+				}
+				for id := rq.LastEventID() + 1; id <= 2; id++ {
+					co.Printf("id: %d\ndata: %s\n\n", id, []string{"one", "two"}[id-1])
+				}
+				return false
+			}
+			fx := newFixture(t, nil, []*fakeserver.Server{startServer(t, handler), startServer(t, handler)})
+			got := fx.post(resumablePath, "r-1", "prompt")
+			require.NoError(t, got.err)
+			require.Equal(t, whole, got.body)
+			require.Equal(t, int64(2), calls.Load())
+		})
+	}
+	t.Run("reset in a plain answer", func(t *testing.T) {
+		handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			header(co, rq)
+			co.Printf("half of the")
+			co.Reset()
+			return false
+		}
+		fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+		require.NotEqual(t, http.StatusOK, fx.post(nonIdempotentPath, "r-1", "order").status)
+	})
+}
+
+// TestAnswerThatEndsWithItsConnectionIsRelayed guards against sound answers that are taken
+// to be cut because they have neither a length nor chunks.
+func TestAnswerThatEndsWithItsConnectionIsRelayed(t *testing.T) {
+	for name, body := range map[string]string{"short": "quote 7", "empty": "", "longer than is buffered": strings.Repeat("x", 300<<10)} {
+		t.Run(name, func(t *testing.T) {
+			handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+				co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\n\r\n%s", rq.ID, platform.HeaderSignature, body)
+				return false
+			}
+			fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+			for _, id := range []string{"r-1", "r-2"} {
+				got := fx.post(nonIdempotentPath, id, "order")
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, body, got.body)
+			}
+		})
+	}
+}
+
+// TestLongAnswerCutWithItsConnectionIsNotComplete guards against an answer whose beginning
+// has been relayed and that looks complete to the caller although its server reset the
+// connection.
+func TestLongAnswerCutWithItsConnectionIsNotComplete(t *testing.T) {
+	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.Printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: s\r\n\r\n%s", rq.ID, platform.HeaderSignature, strings.Repeat("x", 300<<10))
+		time.Sleep(50 * time.Millisecond) // a reset drops what the host hasn't read
+		co.Reset()
+		return false
+	}
+	fx := newFixture(t, []*fakeserver.Server{startServer(t, handler)}, nil)
+	got := fx.post(nonIdempotentPath, "r-1", "order")
+	require.True(t, got.err != nil || got.status != http.StatusOK)
+}
