Read as a newcomer: names, comments, and the body of a malformed response

Cause: a last read of the change. keptconn.Use.Check left the body of a malformed response open, so that http.Transport kept its goroutine until the end of the call's context.

Change: Check closes it; isOld is isHTTP10, a look at unread bytes is a peek; comments are wrapped.

--- a/http1/response.go
+++ b/http1/response.go
@@ -24,7 +24,7 @@
 
 // Check returns ErrMalformed if a response is malformed. The server may have run the request;
 // the connection must be closed, because what follows on it may be part of the response. A
-// Scanner finds the faults that don't show in a http.Response.
+// Scanner finds the faults that don't show in an http.Response.
 func Check(response *http.Response) error {
 	if response.ProtoMajor != protocolMajor {
 		return errors.Annotatef(ErrMalformed, "version %s", response.Proto)
--- a/http1/scanner.go
+++ b/http1/scanner.go
@@ -14,13 +14,13 @@
 // transferEncoding is the name of the field that says whether a body has chunks.
 const transferEncoding = "Transfer-Encoding"
 
-// Scanner scans the bytes of headers for what a http.Header doesn't show. The zero value expects
-// the first byte of a response. It scans the headers of interim responses and of the final one
-// that follows them.
+// Scanner scans the bytes of headers for faults that an http.Response doesn't show: folded
+// lines, and chunks in HTTP/1.0. The zero value expects the first byte of a response. It scans
+// the headers of interim responses and of the final one that follows them.
 type Scanner struct {
 	prefix    []byte // beginning of the present line, without carriage returns
 	line      int    // in the present header, from zero
-	isOld     bool   // the version is HTTP/1.0
+	isHTTP10  bool   // the version is HTTP/1.0
 	isInterim bool   // the status is 1xx
 	ended     bool   // the final header has been scanned
 	err       error  // the first fault
@@ -72,7 +72,7 @@
 // readStatusLine reads the version and the class of the status.
 func (sc *Scanner) readStatusLine() {
 	version, status, _ := bytes.Cut(sc.prefix, []byte(" "))
-	sc.isOld = string(version) == "HTTP/1.0"
+	sc.isHTTP10 = string(version) == "HTTP/1.0"
 	sc.isInterim = bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
 }
 
@@ -84,7 +84,7 @@
 		return errors.Annotate(ErrMalformed, "folded line in the header")
 	}
 	name, _, _ := bytes.Cut(sc.prefix, []byte(":"))
-	if sc.isOld && strings.EqualFold(string(name), transferEncoding) {
+	if sc.isHTTP10 && strings.EqualFold(string(name), transferEncoding) {
 		return errors.Annotatef(ErrMalformed, "%s in HTTP/1.0", transferEncoding)
 	}
 	return nil
--- a/keptconn/keptconn.go
+++ b/keptconn/keptconn.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It scans the header of the response.
 func (co *Conn) Read(data []byte) (int, error) {
 	count, err := co.Conn.Read(data)
 	co.mu.Lock()
@@ -116,18 +116,20 @@
 }
 
 // Check returns http1.ErrMalformed if a response on the connection is malformed. It then closes
-// the connection, on which the rest of the response may follow.
+// the body and the connection, on which the rest of the response may follow.
 func (us *Use) Check(response *http.Response) error {
 	err := http1.Check(response)
 	if err == nil {
 		err = us.scanErr()
 	}
 	if err != nil {
-		us.Close()
+		_ = response.Body.Close()
+		us.Close() // Body.Close keeps the connection of a response without a body
 	}
 	return err
 }
 
+// scanErr returns what the scan of the response on the connection has found.
 func (us *Use) scanErr() error {
 	us.mu.Lock()
 	defer us.mu.Unlock()
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -15,8 +15,8 @@
 )
 
 // Conn is a TCP connection. The system reports a reset to one call only. If that is a write or
-// a look at what is unread, the reads that follow get io.EOF, as if the peer had sent all that
-// it wanted to send. Those of a Conn get the error of that call instead.
+// a peek, the reads that follow get io.EOF, as if the peer had sent all that it wanted to send.
+// Those of a Conn get the error of that call instead.
 type Conn struct {
 	net.Conn
 	raw syscall.RawConn // nil if the connection has no file descriptor
@@ -38,7 +38,7 @@
 }
 
 // Read implements net.Conn. At the end of the connection it waits for a write that is under
-// way. It returns the error of a write or a look that has failed, io.EOF if none has.
+// way. It returns the error of a write or a peek that has failed, io.EOF if none has.
 func (co *Conn) Read(data []byte) (int, error) {
 	count, err := co.Conn.Read(data)
 	if errors.Is(err, io.EOF) {
