Less work for each header on the request path

Cause: the fixes made an exchange with a backend server dearer: http1.Scanner looked at each byte of a header, and the peek at an idle connection had one allocation more. Change: the scanner goes from line to line and keeps the beginning of each; the peek keeps its two results in one variable. TestFoldedLinesAreFound and TestChunksInOldVersionAreFound pass with 50,000 random responses.

--- a/http1/scanner.go
+++ b/http1/scanner.go
@@ -14,11 +14,17 @@
 // transferEncoding is the name of the field that says whether a body has chunks.
 const transferEncoding = "Transfer-Encoding"
 
+// The bytes at the end of a line.
+var (
+	lineFeed       = []byte("\n")
+	carriageReturn = []byte("\r")
+)
+
 // Scanner scans the bytes of headers for faults that an http.Response doesn't show: folded
 // lines, and chunks in HTTP/1.0. The zero value expects the first byte of a response. It scans
 // the headers of interim responses and of the final one that follows them.
 type Scanner struct {
-	prefix    []byte // beginning of the present line, without carriage returns
+	prefix    []byte // beginning of the present line
 	line      int    // in the present header, from zero
 	isHTTP10  bool   // the version is HTTP/1.0
 	isInterim bool   // the status is 1xx
@@ -31,29 +37,24 @@
 
 // Scan scans the bytes that follow those of the last call. It ignores the body.
 func (sc *Scanner) Scan(data []byte) {
-	for _, char := range data {
-		if sc.ended {
-			return
+	for len(data) > 0 && !sc.ended {
+		line, rest, isWhole := bytes.Cut(data, lineFeed)
+		room := maxPrefixBytes - len(sc.prefix)
+		sc.prefix = append(sc.prefix, line[:min(len(line), room)]...)
+		if isWhole {
+			sc.endLine()
 		}
-		sc.scanByte(char)
+		data = rest
 	}
 }
 
 // Err returns ErrMalformed if a fault was found.
 func (sc *Scanner) Err() error { return sc.err }
 
-func (sc *Scanner) scanByte(char byte) {
-	switch {
-	case char == '\n':
-		sc.endLine()
-	case char != '\r' && len(sc.prefix) < maxPrefixBytes:
-		sc.prefix = append(sc.prefix, char)
-	}
-}
-
 // endLine looks at the present line and goes on to the next one, or to the next header after
 // the blank line at the end of an interim one.
 func (sc *Scanner) endLine() {
+	sc.prefix = bytes.TrimSuffix(sc.prefix, carriageReturn)
 	if len(sc.prefix) == 0 && sc.line > 0 {
 		sc.ended = !sc.isInterim
 		sc.line = 0
@@ -80,11 +81,14 @@
 // net/http appends it to the value of the field before it. HTTP/1.0 has no chunks, so that the
 // framing of a response that names them is faulty (section 6.1); net/http leaves the field out.
 func (sc *Scanner) checkLine() error {
-	if bytes.HasPrefix(sc.prefix, []byte(" ")) || bytes.HasPrefix(sc.prefix, []byte("\t")) {
+	if len(sc.prefix) > 0 && (sc.prefix[0] == ' ' || sc.prefix[0] == '\t') {
 		return errors.Annotate(ErrMalformed, "folded line in the header")
 	}
+	if !sc.isHTTP10 {
+		return nil
+	}
 	name, _, _ := bytes.Cut(sc.prefix, []byte(":"))
-	if sc.isHTTP10 && strings.EqualFold(string(name), transferEncoding) {
+	if strings.EqualFold(string(name), transferEncoding) {
 		return errors.Annotatef(ErrMalformed, "%s in HTTP/1.0", transferEncoding)
 	}
 	return nil
--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -104,17 +104,19 @@
 	}
 	co.peekMu.Lock()
 	defer co.peekMu.Unlock()
-	var count int
-	var peekErr error
+	var peeked struct {
+		count int
+		err   error
+	}
 	err := co.raw.Control(func(fd uintptr) {
 		var buf [1]byte
-		count, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		peeked.count, _, peeked.err = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
 	if err != nil {
 		return 0, err // the connection is closed
 	}
-	if peekErr != nil && peekErr != unix.EAGAIN && co.peekErr == nil {
-		co.peekErr = os.NewSyscallError("recvfrom", peekErr)
+	if peeked.err != nil && peeked.err != unix.EAGAIN && co.peekErr == nil {
+		co.peekErr = os.NewSyscallError("recvfrom", peeked.err)
 	}
-	return count, peekErr
+	return peeked.count, peeked.err
 }
