--- a/tcp/conn.go
+++ b/tcp/conn.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return 0, err // the connection is closed
 	}
-	if peeked.err != nil && peeked.err != unix.EAGAIN && co.peekErr == nil {
+	if peeked.err != nil && !errors.Is(peeked.err, unix.EAGAIN) && co.peekErr == nil {
 		co.peekErr = os.NewSyscallError("recvfrom", peeked.err)
 	}
 	return peeked.count, peeked.err
