gateway: log whether the server of an unframed response still accepts connections

They kept no logs, and ours can't tell the possible causes apart.

The engine's process ended while it wrote an answer with neither a length nor chunks. Its system closes the connection in order, and the host takes that for the end of the answer. The second answer of an engine that answers twice is taken for the rest of another one.

Change: after an answer that ended with its connection, the host looks whether the server accepts a new connection and logs what it found. Nothing is decided by it yet.

--- a/backend/conn.go
+++ b/backend/conn.go
@@ -94,6 +94,8 @@
 	body     *bodyReader
 	stop     func() bool // detaches the exchange from its context; false if that has ended
 	finished bool
+	// endsWithConnection reports that the response has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // bodyReader reads the body of a response and remembers whether it was read to its end.
@@ -125,6 +127,7 @@
 		ex.Abort()
 		return nil, errors.Trace(err)
 	}
+	ex.endsWithConnection = http1.EndsWithConnection(response)
 	ex.body = &bodyReader{ReadCloser: response.Body, ended: response.Body == http.NoBody}
 	response.Body = ex.body
 	ex.Response = response
@@ -217,9 +220,7 @@
 
 // EndsWithConnection reports whether the response has neither a length nor chunks, so
 // that its end can't be told from a connection that was cut.
-func (ex *Exchange) EndsWithConnection() bool {
-	return ex.Response.ContentLength < 0 && len(ex.Response.TransferEncoding) == 0
-}
+func (ex *Exchange) EndsWithConnection() bool { return ex.endsWithConnection }
 
 // Finish ends an exchange. The connection is returned to the pool if the response was
 // read to its end and the connection can be reused. The server's idle timeout is zero if
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -58,12 +58,15 @@
 	if err != nil {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "body of the answer")}
 	}
+	if whole {
+		ga.observeEnd(re, ch, ex, headers)
+	}
 	if !re.hedge.acquire() {
 		return takenOver()
 	}
 	if !whole {
 		re.hedge.goOn()
-		return ga.relayUnbuffered(re, ch, ex, body)
+		return ga.relayUnbuffered(re, ch, ex, body, headers)
 	}
 	recordFirstEvent()
 	ga.recordProgress(re, true)
@@ -108,7 +111,7 @@
 
 // relayUnbuffered relays a response that is too long to be held; head is the part that has
 // been read.
-func (ga *Gateway) relayUnbuffered(re *request, ch placement.Choice, ex *backend.Exchange, head []byte) result {
+func (ga *Gateway) relayUnbuffered(re *request, ch placement.Choice, ex *backend.Exchange, head []byte, headers platform.ResponseHeaders) result {
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
@@ -120,6 +123,9 @@
 	if err == nil && !ex.AtEnd() {
 		err = errors.Errorf("body over %d bytes", maxResponseBytes)
 	}
+	if err == nil {
+		ga.observeEnd(re, ch, ex, headers)
+	}
 	ga.recordResponse(re, ch.Server.ID, ex.Response.StatusCode, err)
 	if err != nil {
 		panic(http.ErrAbortHandler) // aborts the connection, so that the response does not look complete
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -141,6 +141,7 @@
 		}
 		switch {
 		case err == io.EOF:
+			ga.observeEnd(re, ch, ex, headers)
 			if !re.hedge.acquire() {
 				return takenOver()
 			}
--- a/http1/response.go
+++ b/http1/response.go
@@ -54,3 +54,9 @@
 	}
 	return nil
 }
+
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that its
+// end can't be told from that of a connection that was cut.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -49,3 +49,27 @@
 		require.ErrorIs(t, check(t, "HTTP/1.1 200 OK\r\n"+name+": 5\r\n\r\n"), http1.ErrMalformed, name)
 	}
 }
+
+// TestEndsWithConnection covers the framings of RFC 9112, section 6.3.
+func TestEndsWithConnection(t *testing.T) {
+	head, err := http.NewRequest(http.MethodHead, "http://server/", nil)
+	require.NoError(t, err)
+	for _, fr := range []struct {
+		raw     string
+		request *http.Request
+		want    bool
+	}{
+		{raw: "HTTP/1.1 200 OK\r\n\r\nbody", want: true},
+		{raw: "HTTP/1.0 200 OK\r\n\r\n", want: true},
+		{raw: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"},
+		{raw: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		{raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		{raw: "HTTP/1.1 204 No Content\r\n\r\n"},
+		{raw: "HTTP/1.1 200 OK\r\n\r\n", request: head},
+	} {
+		response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(fr.raw)), fr.request)
+		require.NoError(t, err)
+		require.Equal(t, fr.want, http1.EndsWithConnection(response), "%q", fr.raw)
+		require.NoError(t, response.Body.Close())
+	}
+}
