backend: a probe isn't satisfied by a server that is ending

The inspector of broken attempts asks in the same way, so a crash could count as a closed connection there too.

Cause: the system closes the files of a killed process one after the other. A connection that is opened between the end of the answer's connection and that of the port is accepted by the system, and reset with the port.

Change: a probe watches its connection for 20 ms. If that is closed, or reset while it is opened, it opens another one, up to three: a server that has too many connections resets them too, and still runs.

Evidence: TestProbeOfServerThatIsEndingIsRefused failed before (no error), and so did TestProbeOfFullServerSucceeds (an error that isn't a refusal). TestProbeKeepsItsConnection passed before and passes now.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -11,6 +11,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mangopaddle/mangopaddle/tcp"
 )
 
 const (
@@ -112,22 +114,24 @@
 		po.CloseIdleTo(address)
 		return nil, errors.Annotatef(err, "connection to %s", address)
 	}
-	po.mu.Lock()
-	po.dialCount++
-	po.mu.Unlock()
+	po.countDial()
 	co := newConn(nc, address, po.buffers)
 	co.setUpTime = po.clock.Since(started)
 	return co, nil
 }
 
 // Probe opens a connection to a server and keeps it for later requests. It returns an
-// error if the server does not accept it; one that has ended refuses it.
+// error if it can't connect; a server that has ended refuses the connection.
 func (po *Pool) Probe(ctx context.Context, address string) error {
-	co, err := po.Get(ctx, address, 0)
+	nc, err := tcp.Probe(ctx, &po.dialer, address)
 	if err != nil {
-		return errors.Trace(err)
+		po.CloseIdleTo(address)
+		return errors.Annotatef(err, "connection to %s", address)
+	}
+	if nc != nil {
+		po.countDial()
+		po.put(newConn(nc, address, po.buffers), 0)
 	}
-	po.put(co, 0)
 	return nil
 }
 
@@ -258,6 +262,13 @@
 	delete(po.idle, address)
 }
 
+// countDial counts a connection that was opened.
+func (po *Pool) countDial() {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.dialCount++
+}
+
 // DialCount returns the number of connections opened so far.
 func (po *Pool) DialCount() int64 {
 	po.mu.Lock()
