gateway: an answer whose server crashes isn't passed on as a whole one

What callers saw: a stream with fewer events than its engine would have written, ended in order "in chunks"; an answer with a part of its body and a length.

Cause: an answer with neither a length nor chunks ends with its connection. The system of a process that is killed closes connections in order too, so the host took the end of the connection for that of the answer and framed it anew: the class of fault is a conversion that vouches for more than the host knows.

Change: after such an end the host connects to the server once more. If the server refuses, the answer was cut: it is asked for again, resumed, or failed with a status that promises nothing, as after a reset. A server that stops as planned refuses connections as well; its answers to requests that can't be repeated pass as whole, the others are asked for again.

Answers with a length or chunks cost nothing.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -28,6 +28,7 @@
 	failedAttempts map[string]tally.Counter
 	notices        map[string]tally.Counter
 	cold           map[string]tally.Counter
+	checkedEnds    map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
 	firstEvent     tally.Histogram
 }
@@ -46,6 +47,7 @@
 		failedAttempts: map[string]tally.Counter{},
 		notices:        map[string]tally.Counter{},
 		cold:           map[string]tally.Counter{},
+		checkedEnds:    map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
 		firstEvent:     scope.Histogram("stream_first_event_seconds", latencyBuckets),
 	}
@@ -126,6 +128,20 @@
 	co.scope.Counter("requests_over_fair_level").Inc(1)
 }
 
+// countCheckedEnd counts a response that ended with its connection, by whether it was "whole"
+// or "cut".
+func (co *counters) countCheckedEnd(cut bool) {
+	outcome := "whole"
+	if cut {
+		outcome = "cut"
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.checkedEnds, outcome, "response_ends_checked", func() map[string]string {
+		return map[string]string{"outcome": outcome}
+	}).Inc(1)
+}
+
 // countBrokenStream counts a stream that was aborted before its end.
 func (co *counters) countBrokenStream() {
 	co.scope.Counter("streams_broken").Inc(1)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -55,12 +55,12 @@
 // whose response is cut off can be retried.
 func (ga *Gateway) relayBuffered(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	body, whole, err := re.buffer(ex.Response.Body)
+	if whole && err == nil {
+		err = ga.checkEnd(re, ch, ex, headers)
+	}
 	if err != nil {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "body of the answer")}
 	}
-	if whole {
-		ga.observeEnd(re, ch, ex, headers)
-	}
 	if !re.hedge.acquire() {
 		return takenOver()
 	}
@@ -124,7 +124,7 @@
 		err = errors.Errorf("body over %d bytes", maxResponseBytes)
 	}
 	if err == nil {
-		ga.observeEnd(re, ch, ex, headers)
+		err = ga.checkEnd(re, ch, ex, headers)
 	}
 	ga.recordResponse(re, ch.Server.ID, ex.Response.StatusCode, err)
 	if err != nil {
--- a/gateway/responseend.go
+++ b/gateway/responseend.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"io"
 	"slices"
 
+	"github.com/juju/errors"
+
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/directory"
@@ -10,18 +13,28 @@
 	"github.com/mangopaddle/mangopaddle/platform"
 )
 
-// observeEnd logs, of a response that has neither a length nor chunks, whether its server still
-// accepts connections after it has closed this one. The system of a server that crashes closes
-// connections in the same way as a server that has written its whole response.
-func (ga *Gateway) observeEnd(re *request, ch placement.Choice, ex *backend.Exchange, headers platform.ResponseHeaders) {
+// checkEnd checks a response that has neither a length nor chunks after the server has closed
+// its connection. The system of a server that crashes closes connections in the same way as a
+// server that has written its whole response; but a crashed server accepts no new connection.
+// checkEnd returns an error, for which backend.IsBrokenOff holds, if the server accepts none.
+//
+// A server that stops as planned accepts none either while it completes its responses. Those to
+// requests that can't be repeated are taken to be whole.
+func (ga *Gateway) checkEnd(re *request, ch placement.Choice, ex *backend.Exchange, headers platform.ResponseHeaders) error {
 	if !ex.EndsWithConnection() {
-		return
+		return nil
 	}
 	startedAt := ga.clock.Now()
 	err := ga.backends.Probe(re.hedge.ctx, ch.Server.Address)
-	re.log(ga.logger.Info(), "response_end_observed").Str("server", string(ch.Server.ID)).Bool("refused", backend.IsRefused(err)).
-		Bool("leaving", headers.Leaving || !ga.isListedReady(ch.Server.ID)).Dur("took_ms", ga.clock.Since(startedAt)).AnErr("cause", err).
-		Msg("looked at the server of a response that ended with its connection")
+	leaving := headers.Leaving || !ga.isListedReady(ch.Server.ID)
+	cut := backend.IsRefused(err) && (!leaving || re.repeatable())
+	ga.counters.countCheckedEnd(cut)
+	re.log(ga.logger.Info(), "response_end_checked").Str("server", string(ch.Server.ID)).Bool("cut", cut).Bool("leaving", leaving).
+		Dur("took_ms", ga.clock.Since(startedAt)).AnErr("cause", err).Msg("checked the server of a response that ended with its connection")
+	if cut {
+		return errors.Annotate(io.ErrUnexpectedEOF, "the server has ended")
+	}
+	return nil
 }
 
 // isListedReady reports whether the list of servers has a server and doesn't say that it stops.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -141,12 +141,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			ga.observeEnd(re, ch, ex, headers)
-			if !re.hedge.acquire() {
-				return takenOver()
-			}
-			ga.recordProgress(re, endsWithEvent(pending) && re.hasAnyEvent())
-			return ga.finishStream(re, ch, ex, pending, headers.IdleTimeout)
+			return ga.endStream(re, ch, ex, pending, headers)
 		case err != nil:
 			return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "stream")}
 		case len(pending) > maxEventBytes || !re.held.Hold(cap(pending)):
@@ -292,6 +287,19 @@
 	return nil
 }
 
+// endStream ends an attempt whose response has ended; rest is what followed the last relayed
+// event.
+func (ga *Gateway) endStream(re *request, ch placement.Choice, ex *backend.Exchange, rest []byte, headers platform.ResponseHeaders) result {
+	if err := ga.checkEnd(re, ch, ex, headers); err != nil {
+		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(err, "stream")}
+	}
+	if !re.hedge.acquire() {
+		return takenOver()
+	}
+	ga.recordProgress(re, endsWithEvent(rest) && re.hasAnyEvent())
+	return ga.finishStream(re, ch, ex, rest, headers.IdleTimeout)
+}
+
 // finishStream ends the response after the regular end of the backend server's. rest is
 // what followed the last relayed event; it is relayed too, unless it ends inside an event:
 // then the server broke off.
