service: an answer whose replica crashes isn't returned as a whole one

What callers saw: on the own API, the part of a plain service's answer as a whole one, if it had neither a length nor chunks and its replica's process ended while it wrote.

Engines on the own API aren't concerned: their streams end with an event of their own.

Evidence: TestResponseCutByCrashIsNotReturned failed before (no error). TestResponseThatEndsWithItsConnectionIsReturned passes before and after.

Left: this client doesn't know which replicas stop as planned; one that refuses connections while it completes such answers has them counted as cut.

--- a/service/client.go
+++ b/service/client.go
@@ -21,6 +21,7 @@
 // Client calls services and holds the connections to them. It is safe for
 // concurrent use.
 type Client struct {
+	dialer  *net.Dialer
 	pooled  *http.Transport // reuses connections; for idempotent services
 	oneShot *http.Transport // opens a new connection for each call
 }
@@ -29,6 +30,7 @@
 func New() (*Client, func()) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	cl := &Client{
+		dialer: dialer,
 		pooled: &http.Transport{DialContext: keptconn.Dial(dialer), DisableCompression: true},
 		// http.Transport retries a request by itself when a reused connection
 		// turns out to be closed, and takes an Idempotency-Key header as
@@ -114,6 +116,9 @@
 	if mp.Bytes(len(body)) > maxResponseBytes {
 		return nil, true, mp.NewError(mp.KindBackendFailed, "the answer of replica %q is over %d bytes", re.Name, maxResponseBytes)
 	}
+	if err := cl.checkEnd(ctx, re, response); err != nil {
+		return nil, true, err
+	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: body}, true, nil
 }
 
