gateway: a stream goes on only at the software version that began it

What callers saw: one answer with events of engines of two software versions, with nothing in it to show that.

Cause: the entry's version was read and dropped, so the next attempt of a stream that had broken off, or whose engine was silent, went to any engine.

Change: the list of servers, hosts' messages and the placement carry the version; once a stream has begun, its further attempts and hedges are placed only at engines of that version. If none is left, the answer is aborted. A stream that began at an engine of unknown version, of which a host of an earlier release has told, isn't resumed.

Evidence: TestStreamGoesOnOnlyAtTheSoftwareThatBeganIt failed before, broken off and silent (four events in place of two and an error).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,6 +34,9 @@
 	// Address is an IP address with a port.
 	Address    string          `json:"address"`
 	DataCentre mp.DataCentreID `json:"data_centre"`
+	// Software is the version of the server's software; empty if another host of an earlier
+	// release has sent the entry.
+	Software mp.SoftwareVersion `json:"software,omitempty"`
 	// Slots is the number of requests that the server runs at once.
 	Slots int   `json:"slots"`
 	State State `json:"state"`
--- a/directory/packed_test.go
+++ b/directory/packed_test.go
@@ -19,7 +19,7 @@
 	for ix := range 3000 {
 		servers = append(servers, directory.Server{
 			ID: mp.ServerID(fmt.Sprintf("i-%010x", ix*7919)), Service: "model-12", Address: fmt.Sprintf("10.%d.%d.9:8443", ix%7, ix%251),
-			DataCentre: "dc-1", Slots: 64, State: directory.Ready, StartedAtMillis: 1_700_000_000_000 + int64(ix*104_729),
+			DataCentre: "dc-1", Software: "2026.12.1", Slots: 64, State: directory.Ready, StartedAtMillis: 1_700_000_000_000 + int64(ix*104_729),
 		})
 	}
 	packed, err := directory.Pack(servers)
--- a/follow/state.go
+++ b/follow/state.go
@@ -278,7 +278,7 @@
 
 func (st *state) logServer(se directory.Server, event string, position mp.Position, source Source) {
 	st.logger.Info().Str("event", event).Str("server", string(se.ID)).Str("service", string(se.Service)).
-		Str("address", se.Address).Str("data_centre", string(se.DataCentre)).Bool("leaving", se.State == directory.Draining).
+		Str("address", se.Address).Str("data_centre", string(se.DataCentre)).Str("software", string(se.Software)).Bool("leaving", se.State == directory.Draining).
 		Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).Msg("backend server list changed")
 }
 
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -190,3 +190,12 @@
 	}
 	return count
 }
+
+// addSoftware starts an engine of each of some software versions.
+func (fx *fixture) addSoftware(handler func(software string) fakeserver.Handler, versions ...string) {
+	fx.t.Helper()
+	for _, software := range versions {
+		se := startServer(fx.t, handler(software))
+		fx.store.PutServerOf(software, "engine-"+se.Address(), "engines", se.Address())
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,6 +98,9 @@
 		MoreUrgent:          wo.MoreUrgent(re.rank.Priority, re.snapshot.Table.MaxPriorityRaise(), tolerance),
 		Exclude:             re.tried,
 	}
+	if re.stream != nil {
+		rq.Software = re.stream.software
+	}
 	if re.regions.IsRestricted() {
 		rq.AllowsRegion = re.regions.Allows
 	}
@@ -112,9 +115,10 @@
 }
 
 // repeatable reports whether the request may be sent again after a backend server
-// may have run it. A stream of which events without IDs were relayed can't be resumed.
+// may have run it. A stream of which events without IDs were relayed can't be resumed, nor
+// can one that a server of unknown software began.
 func (re *request) repeatable() bool {
-	return re.route.Repeatable() && (re.stream == nil || re.stream.events > 0)
+	return re.route.Repeatable() && (re.stream == nil || re.stream.events > 0 && re.stream.software != "")
 }
 
 // log adds the event name and the request ID to a log line.
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -29,6 +29,7 @@
 			Service:               se.Service,
 			Address:               se.Address,
 			StartedAtMillis:       se.StartedAtMillis,
+			Software:              se.Software,
 			Slots:                 se.Slots,
 			DataCentre:            se.DataCentre,
 			Region:                ga.settings.Regions[se.DataCentre],
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
@@ -35,6 +36,8 @@
 	eventsBefore int
 	// resumeAfter is the Last-Event-ID of the caller's own request.
 	resumeAfter string
+	// software is the version of the server that began the stream; empty if unknown.
+	software mp.SoftwareVersion
 	// mediaType is that of the response that the caller receives, and encoded reports that
 	// its body is.
 	mediaType string
@@ -127,7 +130,7 @@
 			if !re.hedge.acquire() {
 				return takenOver()
 			}
-			relayed, cause := ga.relayEvents(re, ex, pending)
+			relayed, cause := ga.relayEvents(re, ch, ex, pending)
 			if cause != nil {
 				return ga.streamFailure(re, ch, cause)
 			}
@@ -188,10 +191,10 @@
 // relayEvents writes the events of data that can be relayed to the caller, preceded by the
 // response header if they are the first, and returns their length. Events before one that
 // is out of order are still relayed, so that the stream can be resumed after them.
-func (ga *Gateway) relayEvents(re *request, ex *backend.Exchange, data []byte) (int, error) {
+func (ga *Gateway) relayEvents(re *request, ch placement.Choice, ex *backend.Exchange, data []byte) (int, error) {
 	st := re.stream
 	if st == nil {
-		st = newStreamState(re, ex.Response)
+		st = newStreamState(re, ch.Server, ex.Response)
 	}
 	accepted, cause := st.acceptEvents(data)
 	if len(accepted) > 0 {
@@ -233,9 +236,10 @@
 	}
 }
 
-// newStreamState returns the state of a stream that begins with a response.
-func newStreamState(re *request, response *http.Response) *streamState {
+// newStreamState returns the state of a stream that begins with the response of a server.
+func newStreamState(re *request, server placement.Server, response *http.Response) *streamState {
 	st := &streamState{
+		software:    server.Software,
 		resumeAfter: re.headers.LastEventID,
 		mediaType:   mediaType(response),
 		encoded:     isEncoded(response),
@@ -312,7 +316,7 @@
 	}
 	st := re.stream
 	if st == nil {
-		st = newStreamState(re, ex.Response)
+		st = newStreamState(re, ch.Server, ex.Response)
 	}
 	if st.resumed && !st.isEndedBy(ex, rest) {
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
--- a/ids.go
+++ b/ids.go
@@ -52,6 +52,10 @@
 // one when it restarts.
 type ServerID string
 
+// SoftwareVersion names the version of the software that a backend server runs. Versions have
+// no order. Streams of servers of two versions don't fit together.
+type SoftwareVersion string
+
 // RouteName names a route in the operator's configuration.
 type RouteName string
 
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -61,6 +61,9 @@
 	// AllowsRegion reports whether the request may be sent to servers in a region; nil if
 	// it may be sent to any.
 	AllowsRegion func(mp.RegionID) bool
+	// Software is the software version that began the stream with which the request goes on;
+	// empty if any may serve it.
+	Software mp.SoftwareVersion
 	// Split returns the data centre to which a draw sends the request; nil if it may be sent to
 	// any. It applies if MayOverflow is true.
 	Split func(draw uint64) mp.DataCentreID
@@ -70,7 +73,8 @@
 
 // excludes reports whether the request must not be sent to a server.
 func (rq *Request) excludes(se *server) bool {
-	return slices.Contains(rq.Exclude, se.ID) || (rq.AllowsRegion != nil && !rq.AllowsRegion(se.Region))
+	return slices.Contains(rq.Exclude, se.ID) || (rq.AllowsRegion != nil && !rq.AllowsRegion(se.Region)) ||
+		(rq.Software != "" && se.Software != rq.Software)
 }
 
 // sharedPrefix returns the length of the shared prefix and its ID, which is
--- a/placement/server.go
+++ b/placement/server.go
@@ -25,6 +25,8 @@
 	// StartedAtMillis is the server's start time in Unix milliseconds, which tells a
 	// restart under the same ID; zero if unknown.
 	StartedAtMillis int64
+	// Software is the version of the server's software; empty if unknown.
+	Software mp.SoftwareVersion
 	// Slots is the number of requests that the server runs at once.
 	Slots int
 	// DataCentre and Region are where the server runs. The region is empty if unknown.
