gateway, origin, peer: callers resume a stream at the software that began it

It happened beside kills and resets of hosts and engines, and after all hosts had been killed.

Cause: nobody knew at which version a stream had begun, so a request that resumed it was placed like a new one.

Change: a host records the version at which each stream of a resumable route begins. Hosts tell each other of the data centre, in their load updates, unless they know that the service has had one version for longer than callers wait. A request that resumes a stream (`Resumes`) goes only to servers of the version that began it, by this host's record, or because there was one version only, or by what other hosts answer when asked. If nobody knows, it is refused (503, not run): after all hosts have ended, the version that is left may not be the one that began the stream. A caller that names no stream expects one version; it goes on if this host knows of no other.

Ruled out: reading the store's history at a host that has just started, to prove that one version served.

Evidence: TestCallerResumesStreamAtTheSoftwareThatBeganIt, TestOtherHostResumesStreamAtTheSoftwareThatBeganIt and TestStreamOfUnknownSoftwareIsNotResumed fail without the change.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -29,6 +29,7 @@
 	notices        map[string]tally.Counter
 	cold           map[string]tally.Counter
 	checkedEnds    map[string]tally.Counter
+	origins        map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
 	firstEvent     tally.Histogram
 }
@@ -48,6 +49,7 @@
 		notices:        map[string]tally.Counter{},
 		cold:           map[string]tally.Counter{},
 		checkedEnds:    map[string]tally.Counter{},
+		origins:        map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
 		firstEvent:     scope.Histogram("stream_first_event_seconds", latencyBuckets),
 	}
@@ -142,6 +144,16 @@
 	}).Inc(1)
 }
 
+// countOrigin counts a stream that a caller resumes, by the source that told at which software
+// version it began: this "host", a "peer", or "unknown".
+func (co *counters) countOrigin(source string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.origins, source, "streams_resumed", func() map[string]string {
+		return map[string]string{"source": source}
+	}).Inc(1)
+}
+
 // countBrokenStream counts a stream that was aborted before its end.
 func (co *counters) countBrokenStream() {
 	co.scope.Counter("streams_broken").Inc(1)
--- a/gateway/distribution_test.go
+++ b/gateway/distribution_test.go
@@ -98,14 +98,8 @@
 // startFedHost starts a second host that the store doesn't serve and that opens
 // connections to other hosts with the dialer.
 func (fx *fixture) startFedHost(dial peer.DialFunc) *gateway.Gateway {
-	settings := fx.settings
-	settings.Host = "host-2"
-	settings.CallerAddress, settings.ReadinessAddress, settings.PeerAddress = loopback.Address(), loopback.Address(), loopback.Address()
-	settings.MetricsAddress, settings.StoreAddress = loopback.Address(), loopback.Address()
-	_, port, err := net.SplitHostPort(fx.settings.LoadAddress)
-	require.NoError(fx.t, err)
-	settings.LoadAddress = net.JoinHostPort(strings.Split(settings.PeerAddress, ":")[0], port)
-	settings.Seeds = []string{fx.settings.PeerAddress}
+	settings := fx.peerSettings()
+	settings.StoreAddress = loopback.Address()
 	ga, stop, err := gateway.New(settings, gateway.WithLogger(zerolog.New(fx.logs)), gateway.WithPeerDialer(dial))
 	require.NoError(fx.t, err)
 	fx.t.Cleanup(stop)
--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -35,6 +35,7 @@
 	version  int
 	sequence uint64 // of the load updates that the test sends
 	logs     *testkit.LogBuffer
+	engines  map[string][]string // their IDs, by software version
 }
 
 const (
@@ -56,7 +57,7 @@
 // newFixtureWith is newFixture with changed settings.
 func newFixtureWith(t *testing.T, change func(*gateway.Settings), app, engines []*fakeserver.Server, opts ...gateway.Option) *fixture {
 	t.Helper()
-	fx := &fixture{t: t, store: fakestore.New(), logs: &testkit.LogBuffer{}}
+	fx := &fixture{t: t, store: fakestore.New(), logs: &testkit.LogBuffer{}, engines: map[string][]string{}}
 	storeServer := httptest.NewServer(fx.store)
 	t.Cleanup(storeServer.Close)
 	fx.settings = gateway.Settings{
@@ -88,6 +89,20 @@
 	se.MetricsAddress, se.LoadAddress = loopback.Address(), loopback.Address()
 }
 
+// peerSettings returns the settings of another host of the data centre, which has this one as
+// its seed.
+func (fx *fixture) peerSettings() gateway.Settings {
+	fx.t.Helper()
+	other := *fx
+	other.setNewAddresses()
+	other.settings.Host = mp.HostID("host-" + other.settings.PeerAddress)
+	_, port, err := net.SplitHostPort(fx.settings.LoadAddress)
+	require.NoError(fx.t, err)
+	other.settings.LoadAddress = net.JoinHostPort(strings.Split(other.settings.PeerAddress, ":")[0], port)
+	other.settings.Seeds = []string{fx.settings.PeerAddress}
+	return other.settings
+}
+
 func (fx *fixture) start(opts ...gateway.Option) {
 	ga, stop, err := gateway.New(fx.settings, append(opts, gateway.WithLogger(zerolog.New(fx.logs)))...)
 	require.NoError(fx.t, err)
@@ -196,6 +211,15 @@
 	fx.t.Helper()
 	for _, software := range versions {
 		se := startServer(fx.t, handler(software))
-		fx.store.PutServerOf(software, "engine-"+se.Address(), "engines", se.Address())
+		id := "engine-" + se.Address()
+		fx.store.PutServerOf(software, id, "engines", se.Address())
+		fx.engines[software] = append(fx.engines[software], id)
+	}
+}
+
+// removeEngines removes the entries of the engines of a software version.
+func (fx *fixture) removeEngines(software string) {
+	for _, id := range fx.engines[software] {
+		fx.store.DeleteServer(id)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mangopaddle/mangopaddle/follow"
 	"github.com/mangopaddle/mangopaddle/httpserver"
 	"github.com/mangopaddle/mangopaddle/metrics"
+	"github.com/mangopaddle/mangopaddle/origin"
 	"github.com/mangopaddle/mangopaddle/peer"
 	"github.com/mangopaddle/mangopaddle/placement"
 	"github.com/mangopaddle/mangopaddle/platform"
@@ -73,6 +74,13 @@
 	pendingSettings Settings
 	lastReloadError string
 
+	originMu sync.Mutex
+	// origins and software tell at which software version streams began.
+	origins  *origin.Table
+	software *origin.History
+	// streamAges are how long callers of each service are taken to wait for a stream.
+	streamAges map[mp.ServiceName]time.Duration
+
 	quarantineMu sync.Mutex
 	quarantine   *quarantine.List
 
@@ -161,6 +169,9 @@
 		droppedLines:    func() int64 { return 0 },
 		loadTable:       peer.NewLoadTable(settings.Host, settings.DataCentre),
 		fairness:        fairness.New(),
+		origins:         origin.NewTable(),
+		software:        origin.NewHistory(),
+		streamAges:      map[mp.ServiceName]time.Duration{},
 		quarantine:      quarantine.New(),
 		durations:       newDurations(),
 		buffers:         backend.NewBuffers(settings.bufferLimit()),
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -44,6 +44,10 @@
 	ctx, cancel := re.context()
 	defer cancel()
 	defer context.AfterFunc(ga.ending, cancel)()
+	if err := ga.findOrigin(ctx, re); err != nil {
+		ga.respondError(re, err)
+		return
+	}
 	ga.dispatch(ctx, re)
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -55,6 +55,9 @@
 	tried []mp.ServerID
 	// lastFailure is the last signed 5xx response of a backend server.
 	lastFailure *bufferedResponse
+	// origin is the software version that began the stream with which the caller goes on; empty
+	// for other requests.
+	origin mp.SoftwareVersion
 	// stream is the state of the streamed response; nil before it starts.
 	stream *streamState
 	// status is the status code of the streamed response.
@@ -97,6 +100,7 @@
 		UrgentLatencyTarget: wo.UrgentLatencyTarget(re.route.Priority, tolerance),
 		MoreUrgent:          wo.MoreUrgent(re.rank.Priority, re.snapshot.Table.MaxPriorityRaise(), tolerance),
 		Exclude:             re.tried,
+		Software:            re.origin,
 	}
 	if re.stream != nil {
 		rq.Software = re.stream.software
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -12,6 +12,7 @@
 
 // updateServers passes the ready backend servers to the placer.
 func (ga *Gateway) updateServers(snapshot *follow.Snapshot) {
+	ga.observeSoftware(snapshot)
 	if snapshot.Table == nil {
 		return
 	}
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
+	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,3 +64,146 @@
 		})
 	}
 }
+
+// breakingEngine writes two events and breaks off; a request that resumes the stream gets the
+// rest, with the name of the software as its data.
+func breakingEngine(software string) fakeserver.Handler {
+	return func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.BeginStream(rq)
+		first := rq.LastEventID() + 1
+		co.WriteChunk(fmt.Sprintf("id: %d\ndata: %s\n\nid: %d\ndata: %s\n\n", first, software, first+1, software))
+		if first == 1 {
+			return false
+		}
+		co.EndStream()
+		return true
+	}
+}
+
+// softwareIn returns the software versions of the events of a stream.
+func softwareIn(t *testing.T, body string) string {
+	t.Helper()
+	isOld, isNew := strings.Contains(body, "data: "+oldSoftware), strings.Contains(body, "data: "+newSoftware)
+	require.NotEqual(t, isOld, isNew, "events of one version are expected: %q", body)
+	if isOld {
+		return oldSoftware
+	}
+	return newSoftware
+}
+
+// begin begins a stream that breaks off and returns the software version that began it.
+func (fx *fixture) begin(id string) string {
+	fx.t.Helper()
+	got := fx.post(resumablePath, id, "prompt")
+	require.Error(fx.t, got.err)
+	return softwareIn(fx.t, got.body)
+}
+
+// takeUp resumes a stream after its second event.
+func (fx *fixture) takeUp(id, stream string) clientResponse {
+	fx.t.Helper()
+	return fx.post(resumablePath, id, "prompt", "Last-Event-Id: 2", "Resumes: "+stream)
+}
+
+// startHost starts another host of the same deployment.
+func (fx *fixture) startHost() *fixture {
+	fx.t.Helper()
+	second := *fx
+	second.settings = fx.peerSettings()
+	second.start()
+	return &second
+}
+
+// startStranger starts a host that doesn't find the others, as one does that starts after all
+// others have ended.
+func (fx *fixture) startStranger() *fixture {
+	fx.t.Helper()
+	stranger := *fx
+	stranger.setNewAddresses()
+	stranger.start()
+	return &stranger
+}
+
+// originSource returns the source of the origin that a host has found for a request.
+func (fx *fixture) originSource(id string) any {
+	return fx.logs.RequestEvents(id)["stream_resumed"]["source"]
+}
+
+const resumedStreams = 8 // enough that some of them begin at each of two versions
+
+// TestCallerResumesStreamAtTheSoftwareThatBeganIt guards against a stream that is joined from the
+// events of two software versions because the caller took it up again.
+func TestCallerResumesStreamAtTheSoftwareThatBeganIt(t *testing.T) {
+	fx := startSoftware(t, breakingEngine, oldSoftware, newSoftware)
+	fx.setResumableRoute("max_attempts", 1)
+	for number := range resumedStreams {
+		stream := fmt.Sprint("r-", number)
+		software := fx.begin(stream)
+		got := fx.takeUp(fmt.Sprint("again-", number), stream)
+		require.NoError(t, got.err)
+		require.Equal(t, software, softwareIn(t, got.body))
+	}
+}
+
+// TestOtherHostResumesStreamAtTheSoftwareThatBeganIt is the same at hosts that did not begin the
+// stream: one that was there, and one that has started since.
+func TestOtherHostResumesStreamAtTheSoftwareThatBeganIt(t *testing.T) {
+	fx := startSoftware(t, breakingEngine, oldSoftware, newSoftware)
+	fx.setResumableRoute("max_attempts", 1)
+	second := fx.startHost()
+	began := map[string]string{}
+	for number := range resumedStreams {
+		stream := fmt.Sprint("r-", number)
+		began[stream] = fx.begin(stream)
+	}
+	tries := 0
+	for stream, software := range began {
+		second.eventually(func() bool { // the second host learns of each stream without asking
+			tries++
+			id := fmt.Sprint("told-", tries)
+			got := second.takeUp(id, stream)
+			return got.err == nil && softwareIn(t, got.body) == software && fx.originSource(id) == "host"
+		})
+	}
+	third := fx.startHost()
+	for stream, software := range began {
+		got := third.takeUp("asked-"+stream, stream)
+		require.NoError(t, got.err)
+		require.Equal(t, software, softwareIn(t, got.body))
+		require.Equal(t, "peer", fx.originSource("asked-"+stream))
+	}
+}
+
+// TestStreamOfUnknownSoftwareIsNotResumed guards against a stream that goes on at the software
+// that is left after all hosts have ended, with which it may not have begun.
+func TestStreamOfUnknownSoftwareIsNotResumed(t *testing.T) {
+	fx := startSoftware(t, breakingEngine, oldSoftware)
+	fx.setResumableRoute("max_attempts", 1)
+	fx.begin("r-1")
+	var calls atomic.Int64
+	fx.addSoftware(func(software string) fakeserver.Handler {
+		return func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			calls.Add(1)
+			return breakingEngine(software)(co, rq)
+		}
+	}, newSoftware)
+	fx.removeEngines(oldSoftware)
+	stranger := fx.startStranger()
+	got := stranger.takeUp("again-1", "r-1")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Zero(t, calls.Load())
+	require.Equal(t, "unknown", fx.originSource("again-1"))
+
+	got = stranger.post(resumablePath, "again-2", "prompt", "Last-Event-Id: 2")
+	require.NoError(t, got.err, "a caller that names no stream expects one version")
+	require.Equal(t, newSoftware, softwareIn(t, got.body))
+
+	fx.eventually(func() bool { return fx.gateway.AvailableServerCount("engines") == 1 })
+	got = fx.takeUp("again-3", "r-1")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "no engine runs the software that began the stream")
+	got = fx.post(resumablePath, "again-4", "prompt", "Last-Event-Id: 2")
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "two versions have served")
+	require.Equal(t, int64(1), calls.Load())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -253,6 +253,7 @@
 // beginStream sets the stream state and writes the header of the backend server's response.
 func (ga *Gateway) beginStream(re *request, ex *backend.Exchange, st *streamState) {
 	re.stream = st
+	ga.recordOrigin(re)
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -18,6 +18,7 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/evacuation"
 	"github.com/mangopaddle/mangopaddle/fairness"
+	"github.com/mangopaddle/mangopaddle/origin"
 	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/speed"
 )
@@ -42,6 +43,8 @@
 	maxSuspectBytes = maxDatagramBytes / 2
 	// maxUsageBytes is the maximum size in it of the usage of organisations.
 	maxUsageBytes = maxDatagramBytes / 4
+	// maxOriginBytes is the maximum size in it of the identifiers of streams.
+	maxOriginBytes = maxDatagramBytes / 8
 	// maxEvacuationBytes is the maximum size in it of the list of evacuated data centres.
 	maxEvacuationBytes = maxDatagramBytes / 4
 )
@@ -66,6 +69,9 @@
 	// Usage returns what organisations use of scarce services at this host, or in the whole
 	// data centre.
 	Usage(ofDataCentre bool) fairness.Report
+	// Origins returns where streams began that other hosts have not been told of. Their
+	// identifiers are at most maxBytes long together.
+	Origins(maxBytes int) origin.Report
 	// Speeds returns what this host or, for an aggregate, all hosts of the data centre have
 	// observed of the speed of engines.
 	Speeds(aggregate bool) map[mp.ServiceName]speed.Report
@@ -214,6 +220,9 @@
 	if err := update.Usage.Check(); err != nil {
 		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
 	}
+	if err := update.Origins.Check(); err != nil {
+		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
+	}
 	for _, re := range update.Suspects {
 		if err := re.Check(); err != nil {
 			return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
@@ -269,14 +278,17 @@
 	update.Speeds = lb.speeds(&lb.speedTurn, false)
 	update.Usage = lb.usage(&lb.usageSentAt, false)
 	update.Demands = lb.demandReport(false, &lb.demandsSentAt)
-	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
+	if len(peers) > 0 {
+		update.Origins = lb.delegate.Origins(maxOriginBytes)
+	}
+	if len(loads) > 0 || len(update.Origins) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
 		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
 		return
 	}
 	if aggregate, ok := lb.delegate.DataCentreLoads(); ok {
-		update.Aggregate, update.Relay, update.Loads = true, true, aggregate
+		update.Aggregate, update.Relay, update.Loads, update.Origins = true, true, aggregate, nil
 		update.Usage = lb.usage(&lb.aggregateUsageSentAt, true)
 		update.Speeds = lb.speeds(&lb.aggregateSpeedTurn, true)
 		update.Demands = lb.demandReport(true, &lb.aggregateDemandsSent)
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -7,6 +7,7 @@
 
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/fairness"
+	"github.com/mangopaddle/mangopaddle/origin"
 	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/speed"
 )
@@ -90,6 +91,9 @@
 	Speeds map[mp.ServiceName]speed.Report `json:"speeds,omitempty"`
 	// Demands are those of the sender's callers; nil in most updates.
 	Demands *DemandReport `json:"demand,omitempty"`
+	// Origins are those of streams that the sender has begun to relay, while servers of several
+	// software versions serve. Each stream is told once.
+	Origins origin.Report `json:"origins,omitempty"`
 }
 
 const (
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -15,6 +15,7 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/fairness"
 	"github.com/mangopaddle/mangopaddle/loopback"
+	"github.com/mangopaddle/mangopaddle/origin"
 	"github.com/mangopaddle/mangopaddle/peer"
 	"github.com/mangopaddle/mangopaddle/quarantine"
 	"github.com/mangopaddle/mangopaddle/speed"
@@ -32,6 +33,7 @@
 func (rd *recordingDelegate) MergeState(time.Time, peer.State)      {}
 func (rd *recordingDelegate) Configuration() peer.Configuration     { return peer.Configuration{} }
 func (rd *recordingDelegate) MergeConfiguration(peer.Configuration) {}
+func (rd *recordingDelegate) Origin(peer.OriginRequest) peer.Origin { return peer.Origin{} }
 func (rd *recordingDelegate) FastGossip() bool                      { return false }
 func (rd *recordingDelegate) LocalPeers() []peer.Address            { return nil }
 func (rd *recordingDelegate) RemoteContacts() []peer.Address        { return nil }
@@ -42,6 +44,8 @@
 
 func (rd *recordingDelegate) Usage(bool) fairness.Report { return nil }
 
+func (rd *recordingDelegate) Origins(int) origin.Report { return nil }
+
 func (rd *recordingDelegate) Suspects() []quarantine.Report { return nil }
 
 func (rd *recordingDelegate) Speeds(bool) map[mp.ServiceName]speed.Report { return nil }
@@ -95,6 +99,10 @@
 		`{"host":"h","speeds":{"s":{"prefills":{"counts":[-1]}}}}`,
 		`{"host":"h","speeds":{"s":{"prefills":{"level":99}}}}`,
 		`{"host":"h","suspects":[{"segment":1,"quarantine_left":"9000h"}]}`,
+		`{"host":"h","origins":{"":{"v":["r-1"]}}}`,
+		`{"host":"h","origins":{"s":{"":["r-1"]}}}`,
+		`{"host":"h","origins":{"s":{"v":["a b"]}}}`,
+		`{"host":"h","origins":{"s":{"v":[` + strings.Repeat(`"r",`, 2000) + `"r"]}}}`,
 		`{"host":"h","suspects":[{"segment":1,"crashes":[{"server":"s","started_age":"1s","ended_age":"2s"}]}]}`,
 	} {
 		_, err := io.WriteString(nc, datagram)
--- a/peer/node.go
+++ b/peer/node.go
@@ -50,6 +50,8 @@
 	// MergeState merges the state that another host sent. The ages in it are
 	// relative to the given time.
 	MergeState(at time.Time, received State)
+	// Origin returns what the host knows of where a stream began.
+	Origin(rq OriginRequest) Origin
 	// FastGossip reports whether to use the short gossip interval, for example while
 	// the store is unavailable to this host.
 	FastGossip() bool
