peer, origin: hosts of other data centres know the origins of streams too

Change: origins travel apart from the loads, to the hosts of their own data centre and to one host of each other, which passes them on there. A host that doesn't know asks hosts of all data centres. In a data centre of 16 hosts or more each origin goes only to the group of hosts that keeps it. Questions without a service or a span of time are refused.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
@@ -16,11 +13,6 @@
 )
 
 const (
-	// originKeepers is the least number of hosts of a data centre that keep the origin of a
-	// stream of another host, if there are so many.
-	originKeepers = 8
-	// maxOriginsAsked is the number of hosts that are asked for the origin of a stream.
-	maxOriginsAsked = 4
 	// streamAgeFactor times the timeout of its route is how long a caller is taken to wait for a
 	// stream in all, and maxStreamAge for one of a route without a timeout.
 	streamAgeFactor = 2
@@ -62,7 +54,7 @@
 	software, ok := ga.knownOrigin(re.headers.Resumes, re.service, re.maxStreamAge(), ga.mayJudgeAlone())
 	if !ok {
 		source = "peer"
-		software, ok = ga.peers.AskOrigin(ctx, ga.originHosts(re.headers.Resumes), peer.OriginRequest{
+		software, ok = ga.peers.AskOrigin(ctx, peer.OriginRequest{
 			Stream: re.headers.Resumes, Service: re.service, MaxAge: mp.Duration(re.maxStreamAge()),
 		})
 	}
@@ -176,42 +168,9 @@
 	return ga.origins.Report(now, needsRecords, maxBytes)
 }
 
-// mergeOrigins takes what another host of the data centre tells of the origins of streams.
-func (ga *Gateway) mergeOrigins(now time.Time, report origin.Report) {
-	if len(report) == 0 {
-		return
-	}
-	self := peer.Address(ga.settings.PeerAddress)
-	buckets := originBuckets(len(ga.peers.LocalPeers()) + 1)
+// ReceiveOrigins implements peer.LoadDelegate.
+func (ga *Gateway) ReceiveOrigins(origins origin.Report) {
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	ga.origins.Merge(now, report, func(stream mp.RequestID) bool { return keepsOrigin(self, stream, buckets) })
-}
-
-// originHosts returns hosts of the data centre that may know the origin of a stream.
-func (ga *Gateway) originHosts(stream mp.RequestID) []peer.Address {
-	peers := ga.peers.LocalPeers()
-	buckets := originBuckets(len(peers) + 1)
-	var hosts []peer.Address
-	for _, ix := range rand.Perm(len(peers)) {
-		if keepsOrigin(peers[ix], stream, buckets) && len(hosts) < maxOriginsAsked {
-			hosts = append(hosts, peers[ix])
-		}
-	}
-	return hosts
-}
-
-// originBuckets returns into how many groups the hosts of a data centre are divided, a power of
-// two. Each group keeps the origins of a part of the streams.
-func originBuckets(hosts int) uint64 {
-	buckets := uint64(1)
-	for buckets*2*originKeepers <= uint64(hosts) {
-		buckets *= 2
-	}
-	return buckets
-}
-
-// keepsOrigin reports whether a host keeps the origin of a stream of another host.
-func keepsOrigin(host peer.Address, stream mp.RequestID, buckets uint64) bool {
-	return xxhash.Sum64String(string(host))%buckets == xxhash.Sum64String(string(stream))%buckets
+	ga.origins.Merge(ga.clock.Now(), origins)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -177,7 +177,6 @@
 	ga.overflow.receive(now, update)
 	ga.peers.MarkSeen(update.From)
 	ga.mergeSuspects(now, update.Host, update.Suspects)
-	ga.mergeOrigins(now, update.Origins)
 	ga.mergeEvacuations(string(update.Host), update.Evacuations)
 	if update.Aggregate && !ga.sharesReads {
 		return
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
 )
 
@@ -106,10 +107,12 @@
 }
 
 // startHost starts another host of the same deployment.
-func (fx *fixture) startHost() *fixture {
+func (fx *fixture) startHost(dc mp.DataCentreID) *fixture {
 	fx.t.Helper()
 	second := *fx
 	second.settings = fx.peerSettings()
+	second.settings.DataCentre = dc
+	second.settings.Regions = map[mp.DataCentreID]mp.RegionID{"dc-1": "region-1", "dc-2": "region-1"}
 	second.start()
 	return &second
 }
@@ -148,30 +151,34 @@
 // TestOtherHostResumesStreamAtTheSoftwareThatBeganIt is the same at hosts that did not begin the
 // stream: one that was there, and one that has started since.
 func TestOtherHostResumesStreamAtTheSoftwareThatBeganIt(t *testing.T) {
-	fx := startSoftware(t, breakingEngine, oldSoftware, newSoftware)
-	fx.setResumableRoute("max_attempts", 1)
-	second := fx.startHost()
-	began := map[string]string{}
-	for number := range resumedStreams {
-		stream := fmt.Sprint("r-", number)
-		began[stream] = fx.begin(stream)
-	}
-	tries := 0
-	for stream, software := range began {
-		second.eventually(func() bool { // the second host learns of each stream without asking
-			tries++
-			id := fmt.Sprint("told-", tries)
-			got := second.takeUp(id, stream)
-			return got.err == nil && softwareIn(t, got.body) == software && fx.originSource(id) == "host"
+	for _, dc := range []mp.DataCentreID{"dc-1", "dc-2"} {
+		t.Run(string(dc), func(t *testing.T) {
+			fx := startSoftware(t, breakingEngine, oldSoftware, newSoftware)
+			fx.setResumableRoute("max_attempts", 1)
+			second := fx.startHost(dc)
+			began := map[string]string{}
+			for number := range resumedStreams {
+				stream := fmt.Sprint("r-", number)
+				began[stream] = fx.begin(stream)
+			}
+			tries := 0
+			for stream, software := range began {
+				second.eventually(func() bool { // the second host learns of each stream without asking
+					tries++
+					id := fmt.Sprint("told-", tries)
+					got := second.takeUp(id, stream)
+					return got.err == nil && got.status == http.StatusOK && softwareIn(t, got.body) == software && fx.originSource(id) == "host"
+				})
+			}
+			third := fx.startHost(dc)
+			for stream, software := range began {
+				got := third.takeUp("asked-"+stream, stream)
+				require.NoError(t, got.err)
+				require.Equal(t, software, softwareIn(t, got.body))
+				require.Equal(t, "peer", fx.originSource("asked-"+stream))
+			}
 		})
 	}
-	third := fx.startHost()
-	for stream, software := range began {
-		got := third.takeUp("asked-"+stream, stream)
-		require.NoError(t, got.err)
-		require.Equal(t, software, softwareIn(t, got.body))
-		require.Equal(t, "peer", fx.originSource("asked-"+stream))
-	}
 }
 
 // TestStreamOfUnknownSoftwareIsNotResumed guards against a stream that goes on at the software
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -48,6 +48,31 @@
 	return nil
 }
 
+// Add adds a stream. The report must not be nil.
+func (re Report) Add(stream mp.RequestID, service mp.ServiceName, software mp.SoftwareVersion) {
+	if re[service] == nil {
+		re[service] = map[mp.SoftwareVersion][]mp.RequestID{}
+	}
+	re[service][software] = append(re[service][software], stream)
+}
+
+// Split divides a report into parts by a function of the stream.
+func (re Report) Split(part func(mp.RequestID) uint64) map[uint64]Report {
+	parts := map[uint64]Report{}
+	for service, versions := range re {
+		for software, streams := range versions {
+			for _, stream := range streams {
+				number := part(stream)
+				if parts[number] == nil {
+					parts[number] = Report{}
+				}
+				parts[number].Add(stream, service, software)
+			}
+		}
+	}
+	return parts
+}
+
 // isRecordable reports whether an identifier is short and the same in JSON.
 func isRecordable(stream mp.RequestID) bool {
 	if stream == "" || len(stream) > maxStreamBytes {
@@ -75,30 +100,30 @@
 	records map[mp.RequestID]record
 	// order holds the streams of the records, the oldest first.
 	order []mp.RequestID
-	// untold holds the streams of which other hosts have not been told, the oldest first.
-	untold []mp.RequestID
+	// untold holds the streams of which other hosts have not been told, by service, the oldest
+	// first.
+	untold map[mp.ServiceName][]mp.RequestID
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{records: map[mp.RequestID]record{}} }
+func NewTable() *Table {
+	return &Table{records: map[mp.RequestID]record{}, untold: map[mp.ServiceName][]mp.RequestID{}}
+}
 
 // Begin records that this host has relayed the first event of a stream. Streams whose
 // identifier is too long or has odd characters aren't recorded.
 func (ta *Table) Begin(now time.Time, stream mp.RequestID, service mp.ServiceName, software mp.SoftwareVersion) {
 	if isRecordable(stream) && software != "" && ta.add(now, stream, service, software) {
-		ta.untold = append(ta.untold, stream)
+		ta.untold[service] = append(ta.untold[service], stream)
 	}
 }
 
-// Merge adds the records of another host, as far as keeps holds for their streams. The report
-// must be valid.
-func (ta *Table) Merge(now time.Time, re Report, keeps func(mp.RequestID) bool) {
+// Merge adds the records of another host. The report must be valid.
+func (ta *Table) Merge(now time.Time, re Report) {
 	for service, versions := range re {
 		for software, streams := range versions {
 			for _, stream := range streams {
-				if keeps(stream) {
-					ta.add(now, stream, service, software)
-				}
+				ta.add(now, stream, service, software)
 			}
 		}
 	}
@@ -125,10 +150,11 @@
 		if len(ta.order) < maxRecords && now.Sub(ta.records[oldest].at) < recordLifetime {
 			return
 		}
+		service := ta.records[oldest].service
 		delete(ta.records, oldest)
 		ta.order = ta.order[1:]
-		if len(ta.untold) > 0 && ta.untold[0] == oldest {
-			ta.untold = ta.untold[1:]
+		if untold := ta.untold[service]; len(untold) > 0 && untold[0] == oldest {
+			ta.untold[service] = untold[1:]
 		}
 	}
 }
@@ -152,24 +178,38 @@
 // maxBytes long together. It returns nil if there are none.
 func (ta *Table) Report(now time.Time, needs func(mp.ServiceName) bool, maxBytes int) Report {
 	ta.expire(now)
-	var report Report
-	var kept []mp.RequestID
-	for _, stream := range ta.untold {
-		re := ta.records[stream]
-		size := len(stream) + streamOverheadBytes
-		if size > maxBytes || !needs(re.service) {
-			kept = append(kept, stream)
-			continue
+	report := Report{}
+	for service := range ta.untold {
+		if needs(service) {
+			maxBytes -= ta.reportService(report, service, maxBytes)
 		}
-		maxBytes -= size
-		if report == nil {
-			report = Report{}
+	}
+	if len(report) == 0 {
+		return nil
+	}
+	return report
+}
+
+// reportService adds streams of a service to a report and returns the length of their
+// identifiers.
+func (ta *Table) reportService(report Report, service mp.ServiceName, maxBytes int) int {
+	total := 0
+	untold := ta.untold[service]
+	for len(untold) > 0 {
+		stream := untold[0]
+		size := len(stream) + streamOverheadBytes
+		if total+size > maxBytes {
+			break
 		}
-		if report[re.service] == nil {
-			report[re.service] = map[mp.SoftwareVersion][]mp.RequestID{}
+		untold = untold[1:]
+		if re, ok := ta.records[stream]; ok && re.service == service {
+			report.Add(stream, service, re.software)
+			total += size
 		}
-		report[re.service][re.software] = append(report[re.service][re.software], stream)
 	}
-	ta.untold = kept
-	return report
+	ta.untold[service] = untold
+	if len(untold) == 0 {
+		delete(ta.untold, service)
+	}
+	return total
 }
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -78,6 +78,8 @@
 	// ReceiveLoads takes the update of another host. The broadcaster calls it on
 	// its receiving goroutine.
 	ReceiveLoads(update LoadUpdate)
+	// ReceiveOrigins takes where streams of other hosts began, in the same way.
+	ReceiveOrigins(origins origin.Report)
 }
 
 // Recipients lists the hosts to which load updates are sent, by their gossip addresses.
@@ -188,6 +190,10 @@
 		if update.Host == lb.host {
 			continue
 		}
+		if update.Origins != nil {
+			lb.receiveOrigins(update)
+			continue
+		}
 		if update.Aggregate && update.Relay {
 			relayed := update
 			relayed.Relay = false
@@ -268,6 +274,7 @@
 		case <-lb.clock.After(interval*3/4 + time.Duration(rand.Int64N(int64(interval/2)))):
 		}
 		lb.send(round, peers)
+		lb.sendOrigins(peers)
 	}
 }
 
@@ -278,17 +285,14 @@
 	update.Speeds = lb.speeds(&lb.speedTurn, false)
 	update.Usage = lb.usage(&lb.usageSentAt, false)
 	update.Demands = lb.demandReport(false, &lb.demandsSentAt)
-	if len(peers) > 0 {
-		update.Origins = lb.delegate.Origins(maxOriginBytes)
-	}
-	if len(loads) > 0 || len(update.Origins) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
+	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
 		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
 		return
 	}
 	if aggregate, ok := lb.delegate.DataCentreLoads(); ok {
-		update.Aggregate, update.Relay, update.Loads, update.Origins = true, true, aggregate, nil
+		update.Aggregate, update.Relay, update.Loads = true, true, aggregate
 		update.Usage = lb.usage(&lb.aggregateUsageSentAt, true)
 		update.Speeds = lb.speeds(&lb.aggregateSpeedTurn, true)
 		update.Demands = lb.demandReport(true, &lb.aggregateDemandsSent)
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -91,8 +91,8 @@
 	Speeds map[mp.ServiceName]speed.Report `json:"speeds,omitempty"`
 	// Demands are those of the sender's callers; nil in most updates.
 	Demands *DemandReport `json:"demand,omitempty"`
-	// Origins are those of streams that the sender has begun to relay, while servers of several
-	// software versions serve. Each stream is told once.
+	// Origins are those of streams that the sender has begun to relay; nil unless servers of
+	// several software versions may serve. An update that has them says nothing of loads.
 	Origins origin.Report `json:"origins,omitempty"`
 }
 
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -46,6 +46,8 @@
 
 func (rd *recordingDelegate) Origins(int) origin.Report { return nil }
 
+func (rd *recordingDelegate) ReceiveOrigins(origin.Report) {}
+
 func (rd *recordingDelegate) Suspects() []quarantine.Report { return nil }
 
 func (rd *recordingDelegate) Speeds(bool) map[mp.ServiceName]speed.Report { return nil }
--- a/peer/origin.go
+++ b/peer/origin.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
@@ -15,6 +16,14 @@
 // parameters are an OriginRequest and its result is an Origin.
 const MethodOrigin Method = "stream.origin"
 
+const (
+	// minOriginKeepers is about the least number of hosts of a data centre that keep the origin
+	// of a stream, if there are so many.
+	minOriginKeepers = 8
+	// maxOriginHosts is the number of hosts of each data centre that are asked for it.
+	maxOriginHosts = 3
+)
+
 // originTimeout bounds a question after the origin of a stream. A caller waits meanwhile.
 const originTimeout = 400 * time.Millisecond
 
@@ -33,11 +42,22 @@
 	Software mp.SoftwareVersion `json:"software,omitempty"`
 }
 
-// AskOrigin asks hosts, all at once, at which software version a stream began. It returns the
-// first answer of a host that knows, and false if none does.
-func (no *Node) AskOrigin(ctx context.Context, hosts []Address, rq OriginRequest) (mp.SoftwareVersion, bool) {
+// check returns a not-valid error if no host sends such a request.
+func (rq OriginRequest) check() error {
+	if rq.Service == "" || rq.MaxAge <= 0 {
+		return errors.NotValidf("question after the origin of a stream of service %q in the last %v", rq.Service, rq.MaxAge.Std())
+	}
+	return nil
+}
+
+// AskOrigin asks the hosts that keep the origin of a stream, all at once, at which software
+// version it began. It returns the first answer of a host that knows, and false if none does.
+func (no *Node) AskOrigin(ctx context.Context, rq OriginRequest) (mp.SoftwareVersion, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
+	no.mu.Lock()
+	hosts := no.members.originHosts(no.clock.Now(), rq.Stream)
+	no.mu.Unlock()
 	rq.From = no.self
 	origins := make(chan Origin, len(hosts))
 	for _, host := range hosts {
@@ -73,5 +93,87 @@
 		no.replyError(ctx, conn, rq, jsonrpc2.CodeInvalidParams, "params can't be read")
 		return
 	}
+	if err := request.check(); err != nil {
+		no.replyError(ctx, conn, rq, jsonrpc2.CodeInvalidParams, err.Error())
+		return
+	}
 	no.reply(ctx, conn, rq, no.delegate.Origin(request))
 }
+
+// originGroups returns into how many groups the hosts of a data centre are divided, a power of
+// two. Each group keeps the origins of a part of the streams.
+func originGroups(hosts int) uint64 {
+	groups := uint64(1)
+	for groups*2*minOriginKeepers <= uint64(hosts) {
+		groups *= 2
+	}
+	return groups
+}
+
+// keepOrigins returns the hosts of a group.
+func keepOrigins(hosts []Address, group, groups uint64) []Address {
+	var keepers []Address
+	for _, host := range hosts {
+		if xxhash.Sum64String(string(host))%groups == group {
+			keepers = append(keepers, host)
+		}
+	}
+	return keepers
+}
+
+// originGroup returns the group that keeps the origin of a stream.
+func originGroup(stream mp.RequestID, groups uint64) uint64 {
+	return xxhash.Sum64String(string(stream)) % groups
+}
+
+// originHosts returns random hosts of each data centre that keep the origin of a stream.
+func (ml *MemberList) originHosts(now time.Time, stream mp.RequestID) []Address {
+	var asked []Address
+	for dc, hosts := range ml.byDataCentre(now) {
+		count := len(hosts)
+		if dc == ml.self.DataCentre {
+			count++
+		}
+		groups := originGroups(count)
+		keepers := keepOrigins(hosts, originGroup(stream, groups), groups)
+		ml.random.Shuffle(len(keepers), func(a, b int) { keepers[a], keepers[b] = keepers[b], keepers[a] })
+		asked = append(asked, keepers[:min(len(keepers), maxOriginHosts)]...)
+	}
+	return asked
+}
+
+// sendOrigins tells the hosts that keep them, and one host of each other data centre, which tells
+// those there, where streams of this host began.
+func (lb *LoadBroadcaster) sendOrigins(peers []Address) {
+	contacts := lb.recipients.RemoteContacts()
+	if len(peers)+len(contacts) == 0 {
+		return
+	}
+	origins := lb.delegate.Origins(maxOriginBytes)
+	if origins == nil {
+		return
+	}
+	update := LoadUpdate{From: lb.self, Host: lb.host, Aggregate: true, Relay: true, Origins: origins}
+	lb.write(update, contacts)
+	lb.tellKeepers(update, peers)
+}
+
+// tellKeepers sends each origin to the hosts among the peers that keep it.
+func (lb *LoadBroadcaster) tellKeepers(update LoadUpdate, peers []Address) {
+	groups := originGroups(len(peers) + 1)
+	parts := update.Origins.Split(func(stream mp.RequestID) uint64 { return originGroup(stream, groups) })
+	update.Relay = false
+	for group, part := range parts {
+		update.Origins = part
+		lb.write(update, keepOrigins(peers, group, groups))
+	}
+}
+
+// receiveOrigins takes the origins that another host tells of. Those of another data centre it
+// passes on.
+func (lb *LoadBroadcaster) receiveOrigins(update LoadUpdate) {
+	if update.Relay {
+		lb.tellKeepers(update, lb.recipients.LocalPeers())
+	}
+	lb.delegate.ReceiveOrigins(update.Origins)
+}
