gateway: the age of a stream without a timeout isn't taken to be zero

By reading: on a route without a timeout, a caller that waits two minutes or more made the age at which its stream can have begun zero, so that a host that had just started judged by its list alone. The age is now at least half of what callers are taken to wait, as on routes with a timeout. No test shows it.

--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -40,7 +40,8 @@
 
 // maxStreamAge returns how long ago a stream that the caller resumes can have begun.
 func (re *request) maxStreamAge() time.Duration {
-	return max(re.route.Timeout, re.longestWait()-re.headers.Timeout)
+	longest := re.longestWait()
+	return max(longest/streamAgeFactor, longest-re.headers.Timeout)
 }
 
 // findOrigin finds out at which software version the stream began that the caller resumes, so
