--- a/gateway/upload_test.go
+++ b/gateway/upload_test.go
@@ -27,15 +27,6 @@
 	})
 }
 
-// eventsUpTo returns the events of a stream up to a number.
-func eventsUpTo(first, last int) string {
-	var text strings.Builder
-	for id := first; id <= last; id++ {
-		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
-	}
-	return text.String()
-}
-
 // resetAfter begins a response that has neither a length nor chunks, sends a part of its body
 // and resets the connection.
 func resetAfter(co *fakeserver.Conn, rq fakeserver.Request, part string) {
@@ -54,7 +45,7 @@
 		"buffered":         {nonIdempotentPath, "order confir"},
 		"buffered, empty":  {nonIdempotentPath, ""},
 		"partly relayed":   {nonIdempotentPath, strings.Repeat("x", 300<<10)},
-		"stream":           {nonResumablePath, eventsUpTo(1, 2)},
+		"stream":           {nonResumablePath, events(1, 2)},
 		"stream, no event": {nonResumablePath, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -81,12 +72,12 @@
 	var calls atomic.Int64
 	handler := func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 		if calls.Add(1) == 1 {
-			resetAfter(co, rq, eventsUpTo(1, 2))
+			resetAfter(co, rq, events(1, 2))
 			return false
 		}
 		co.ReadBody()
 		co.BeginUnframed(rq)
-		co.Printf("%s", eventsUpTo(rq.LastEventID()+1, last))
+		co.Printf("%s", events(rq.LastEventID()+1, last))
 		return false
 	}
 	servers := []*fakeserver.Server{startServer(t, handler, fakeserver.WithUnreadBodies()), startServer(t, handler, fakeserver.WithUnreadBodies())}
@@ -98,7 +89,7 @@
 			got := fx.post(path, fmt.Sprint("r-", round), upload)
 			require.NoError(t, got.err, path)
 			require.Equal(t, http.StatusOK, got.status, path)
-			require.Equal(t, eventsUpTo(1, last), got.body, "%s, round %d", path, round)
+			require.Equal(t, events(1, last), got.body, "%s, round %d", path, round)
 			require.Equal(t, int64(2), calls.Load())
 		}
 	}
@@ -108,7 +99,7 @@
 // they begin, or end, before the server has read the upload.
 func TestEarlyResponseToAnUploadIsRelayed(t *testing.T) {
 	upload := strings.Repeat("u", uploadBytes)
-	body := eventsUpTo(1, 3)
+	body := events(1, 3)
 	for name, respond := range map[string]func(co *fakeserver.Conn, rq fakeserver.Request){
 		"length": func(co *fakeserver.Conn, rq fakeserver.Request) { co.Respond(rq, http.StatusOK, body) },
 		"chunks": func(co *fakeserver.Conn, rq fakeserver.Request) {
