--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,11 +75,11 @@
 	lastReloadError string
 
 	originMu sync.Mutex
-	// origins and software tell at which software version streams began.
-	origins  *origin.Table
-	software *origin.History
-	// streamAges are how long callers of each service are taken to wait for a stream.
-	streamAges map[mp.ServiceName]time.Duration
+	// origins and softwareHistory tell at which software version streams began.
+	origins         *origin.Table
+	softwareHistory *origin.History
+	// callerWaits are how long callers of each service are taken to wait for a stream.
+	callerWaits map[mp.ServiceName]time.Duration
 
 	quarantineMu sync.Mutex
 	quarantine   *quarantine.List
@@ -170,8 +170,8 @@
 		loadTable:       peer.NewLoadTable(settings.Host, settings.DataCentre),
 		fairness:        fairness.New(),
 		origins:         origin.NewTable(),
-		software:        origin.NewHistory(),
-		streamAges:      map[mp.ServiceName]time.Duration{},
+		softwareHistory: origin.NewHistory(),
+		callerWaits:     map[mp.ServiceName]time.Duration{},
 		quarantine:      quarantine.New(),
 		durations:       newDurations(),
 		buffers:         backend.NewBuffers(settings.bufferLimit()),
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// streamAgeFactor times the timeout of its route is how long a caller is taken to wait for a
-	// stream in all, and maxStreamAge for one of a route without a timeout.
-	streamAgeFactor = 2
-	maxStreamAge    = 2 * time.Minute
+	// callerWaitFactor times the timeout of its route is how long a caller is taken to wait for a
+	// stream in all, but at most maxCallerWait, which also holds for routes without a timeout.
+	callerWaitFactor = 2
+	maxCallerWait    = 2 * time.Minute
 	// maxSoleListAge is the age of the list of servers up to which this host alone judges that
 	// a service has only one software version.
 	maxSoleListAge = 5 * time.Second
@@ -33,15 +33,15 @@
 // longestWait returns how long a caller is taken to wait for a stream in all.
 func (re *request) longestWait() time.Duration {
 	if re.route.Timeout <= 0 {
-		return maxStreamAge
+		return maxCallerWait
 	}
-	return min(maxStreamAge, streamAgeFactor*re.route.Timeout)
+	return min(maxCallerWait, callerWaitFactor*re.route.Timeout)
 }
 
 // maxStreamAge returns how long ago a stream that the caller resumes can have begun.
 func (re *request) maxStreamAge() time.Duration {
 	longest := re.longestWait()
-	return max(longest/streamAgeFactor, longest-re.headers.Timeout)
+	return max(longest/callerWaitFactor, longest-re.headers.Timeout)
 }
 
 // findOrigin finds out at which software version the stream began that the caller resumes, so
@@ -87,9 +87,9 @@
 	}
 	switch {
 	case stream == "":
-		return ga.software.SoleObserved(now, service, maxAge)
+		return ga.softwareHistory.SoleObserved(now, service, maxAge)
 	case judges:
-		return ga.software.Sole(now, service, maxAge)
+		return ga.softwareHistory.Sole(now, service, maxAge)
 	}
 	return "", false
 }
@@ -99,7 +99,7 @@
 func (ga *Gateway) unobserved(period time.Duration) time.Duration {
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	return ga.software.Unobserved(ga.clock.Now(), period)
+	return ga.softwareHistory.Unobserved(ga.clock.Now(), period)
 }
 
 // softwareOf returns the services and the software versions of servers.
@@ -137,7 +137,7 @@
 	}
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	ga.streamAges[re.service] = max(ga.streamAges[re.service], re.longestWait())
+	ga.callerWaits[re.service] = max(ga.callerWaits[re.service], re.longestWait())
 	ga.origins.Begin(ga.clock.Now(), stream, re.service, re.stream.software)
 }
 
@@ -148,7 +148,7 @@
 	}
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	ga.software.Observe(ga.clock.Now(), softwareOf(snapshot.Servers))
+	ga.softwareHistory.Observe(ga.clock.Now(), softwareOf(snapshot.Servers))
 }
 
 // Origin implements peer.Delegate.
@@ -163,7 +163,7 @@
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
 	needsRecords := func(service mp.ServiceName) bool {
-		_, ok := ga.software.Sole(now, service, ga.streamAges[service])
+		_, ok := ga.softwareHistory.Sole(now, service, ga.callerWaits[service])
 		return !ok
 	}
 	return ga.origins.Report(now, needsRecords, maxBytes)
