clientlimit: the test of a stuck reader waits until that is served

Cause: a race of the test. Its second request may be served before the stuck one has begun; the success of that is then the result that the test looks at.

What the test asserts is the same.

--- a/clientlimit/progress_test.go
+++ b/clientlimit/progress_test.go
@@ -153,10 +153,14 @@
 	t.Parallel()
 	limits := testLimits()
 	limits.Window, limits.Requests = time.Minute, 1
-	result := make(chan error, 8)
-	fx := newFixture(t, limits, answer(64<<20, result))
+	begun, result := make(chan struct{}, 8), make(chan error, 8)
+	fx := newFixture(t, limits, func(rw http.ResponseWriter, rq *http.Request) {
+		begun <- struct{}{}
+		answer(64<<20, result)(rw, rq)
+	})
 	conn, _ := fx.dial()
 	send(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-begun // otherwise the request that follows may be served first
 	require.Eventually(t, func() bool { return fx.get() == http.StatusOK }, testTimeout, 50*time.Millisecond)
 	require.Error(t, <-result)
 }
