gateway: test of a stream that a long wait made young

The fault that mended had no test. What callers could see: on a route without a timeout, a stream that a caller with over two minutes left took up at a host that had just started went on at the version that was left.

The postmortem names one more thing that remains, by reading: routes that are split or moved.

--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -214,3 +214,13 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status, "two versions have served")
 	require.Equal(t, int64(1), calls.Load())
 }
+
+// TestLongWaitDoesNotMakeAStreamYoung guards against a host that has just started and takes the
+// version that is left for the one that began a stream, because its caller has much time left.
+func TestLongWaitDoesNotMakeAStreamYoung(t *testing.T) {
+	fx := startSoftware(t, breakingEngine, newSoftware)
+	fx.setResumableRoute("timeout_ms", 0)
+	got := fx.startStranger().post(resumablePath, "again-1", "prompt", "Last-Event-Id: 2", "Resumes: r-1", "Deadline-Ms: 200000")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+}
