gateway, follow: a host judges where a stream began only by a list read after the question

Callers saw streams with events of two software versions (ORDER): a host that had been cut off or had stood still while servers of a new version joined took the version that it knew for the only one, sent a stream that had begun at the new version to a server of the old one, and told other hosts the same.

Cause: the rule "this host's list is at most 5 s old and had one version" speaks of the time up to which the list was complete, not of the time at which the stream began. Another host that was asked didn't even look at the age of its list, and a host without known members judged by a list of any age.

Change: before a host calls a version the only one, it reads the list from the store (Sync), after the request or the question of another host has arrived. If it can't, it doesn't know. Reads are shared and spaced by the number of hosts. A gap in the confirmations of the list that is longer than the drain delay begins the history anew, since servers may have come and gone in it; until it reaches back far enough, and while the list is old, hosts tell each other of all streams.

Tests: the four of stale_test.go fail on (200 with events of v1 in place of 503) and pass now.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -44,6 +44,8 @@
 	minListSpacing = 4
 	// defaultListInterval is the default interval between two list calls.
 	defaultListInterval = 1800 * time.Millisecond
+	// defaultMaxListGap is shorter than the drain of a server, or the expiry of its entry.
+	defaultMaxListGap = 3 * time.Second
 )
 
 // Store is the part of the platform's store that the follower uses. Its calls fail when
@@ -65,13 +67,18 @@
 	view         *View
 	onChange     func(*Snapshot)
 	listInterval time.Duration
+	maxListGap   time.Duration
 	readerOrder  func() int
 	updates      chan update
 	done         <-chan struct{}
 	// relist requests an immediate list call.
 	relist chan struct{}
+	// syncInterval returns the shortest time between two list calls that Sync requests.
+	syncInterval func() time.Duration
 
 	mu sync.Mutex
+	// listed is closed and replaced when a list call ends.
+	listed chan struct{}
 	// watchPosition is the position after which the watch continues; zero until the list
 	// was read.
 	watchPosition mp.Position
@@ -112,6 +119,12 @@
 	return func(fo *Follower) { fo.listInterval = listInterval }
 }
 
+// WithMaxListGap sets the longest time without a confirmation of the list in which no server
+// can come and go unnoticed. The default is 3 s.
+func WithMaxListGap(maxListGap time.Duration) Option {
+	return func(fo *Follower) { fo.maxListGap = maxListGap }
+}
+
 // WithReaderOrder sets a function that returns this host's position in the order in
 // which the live hosts of its data centre read the store. The first host, at position
 // zero, reads the store and shares the result; the others read it only if, in time, they
@@ -121,6 +134,12 @@
 	return func(fo *Follower) { fo.readerOrder = readerOrder }
 }
 
+// WithSyncInterval sets a function that returns the shortest time between two list calls that
+// Sync requests, because all hosts share the rate of the store. The default is MinSyncInterval.
+func WithSyncInterval(syncInterval func() time.Duration) Option {
+	return func(fo *Follower) { fo.syncInterval = syncInterval }
+}
+
 // New starts a follower of the store that publishes to the view. It returns the
 // follower and a function that stops it.
 func New(store Store, view *View, opts ...Option) (*Follower, func()) {
@@ -134,14 +153,17 @@
 		updates:      make(chan update),
 		done:         ctx.Done(),
 		listInterval: defaultListInterval,
+		maxListGap:   defaultMaxListGap,
 		readerOrder:  func() int { return 0 },
 		relist:       make(chan struct{}, 1),
+		listed:       make(chan struct{}),
+		syncInterval: func() time.Duration { return MinSyncInterval },
 		failingSince: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(fo)
 	}
-	st := newState(fo.logger)
+	st := newState(fo.logger, fo.maxListGap)
 	var group sync.WaitGroup
 	group.Go(func() { fo.runUpdates(ctx, st) })
 	group.Go(func() { fo.runWatch(ctx) })
@@ -177,6 +199,7 @@
 // request that waits for the first configuration can be placed as soon as the
 // view is ready.
 func (fo *Follower) publish(st *state, changed bool) {
+	st.recordListGap()
 	snapshot := st.snapshot()
 	if changed {
 		fo.onChange(snapshot)
@@ -295,6 +318,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		position, err := fo.listOnce(ctx, configPosition)
+		fo.announceList()
 		configPosition = position
 		if errors.Is(err, platform.ErrRestored) {
 			// The store answers, but was restored between two calls.
--- a/follow/state.go
+++ b/follow/state.go
@@ -41,6 +41,14 @@
 	// configurationConfirmedAt is the last time at which the configuration is known to
 	// have matched the store.
 	configurationConfirmedAt time.Time
+	// listReadAt is when this host last asked the store for the whole list.
+	listReadAt time.Time
+	// maxListGap is the longest time without a confirmation of the list in which no server can
+	// come and go. listConfirmedAt is the last confirmation that was compared with it, and
+	// listGapEndedAt is when a longer gap last ended.
+	maxListGap      time.Duration
+	listConfirmedAt time.Time
+	listGapEndedAt  time.Time
 	// packed are the listed servers, for other hosts.
 	packed *packedServers
 	// lastRefusal is the error of the last configuration that could not be
@@ -51,8 +59,8 @@
 	invalid map[mp.ServerID]bool
 }
 
-func newState(logger zerolog.Logger) *state {
-	return &state{logger: logger, directory: directory.New(), evacuations: evacuation.New(), invalid: map[mp.ServerID]bool{}}
+func newState(logger zerolog.Logger, maxListGap time.Duration) *state {
+	return &state{logger: logger, maxListGap: maxListGap, directory: directory.New(), evacuations: evacuation.New(), invalid: map[mp.ServerID]bool{}}
 }
 
 // applyStoredConfiguration applies a configuration that was read from the store and
@@ -155,6 +163,9 @@
 // replaceServers applies a full list that was read from the store and reports
 // whether the servers changed.
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
+	if !page.Position.Before(st.directory.Position()) {
+		st.listReadAt = now
+	}
 	return st.replace(now, page.Position, st.decodeServers(page.Items), SourceStore)
 }
 
@@ -282,6 +293,15 @@
 		Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).Msg("backend server list changed")
 }
 
+// recordListGap records the end of a gap between two confirmations of the list.
+func (st *state) recordListGap() {
+	before := st.listConfirmedAt
+	st.listConfirmedAt = st.directory.ConfirmedAt()
+	if !before.IsZero() && st.listConfirmedAt.Sub(before) > st.maxListGap {
+		st.listGapEndedAt = st.listConfirmedAt
+	}
+}
+
 // snapshot returns an immutable copy of the state for request handlers.
 func (st *state) snapshot() *Snapshot {
 	if listed := st.directory.Listed(); st.packed == nil || !st.packed.contains(listed) {
@@ -296,6 +316,8 @@
 		packed:                   st.packed,
 		ListPosition:             st.directory.Position(),
 		ListConfirmedAt:          st.directory.ConfirmedAt(),
+		ListReadAt:               st.listReadAt,
+		ListGapEndedAt:           st.listGapEndedAt,
 		ConfigurationConfirmedAt: st.configurationConfirmedAt,
 	}
 }
--- a/follow/view.go
+++ b/follow/view.go
@@ -41,6 +41,12 @@
 	// ListConfirmedAt is the last time at which the server list is known to have
 	// matched the store.
 	ListConfirmedAt time.Time
+	// ListReadAt is when this host last asked the store for the whole list; zero for never.
+	// All servers that were listed by then are in the list, or have left it since.
+	ListReadAt time.Time
+	// ListGapEndedAt is when the list was confirmed again after it had not been for the longest
+	// gap; zero for never. Servers may have come and gone meanwhile.
+	ListGapEndedAt time.Time
 	// ConfigurationConfirmedAt is the same for the configuration.
 	ConfigurationConfirmedAt time.Time
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,7 +223,8 @@
 	ga.addCleanup(closeStore)
 	follower, stopFollower := follow.New(store, ga.view,
 		follow.WithClock(ga.clock), follow.WithLogger(ga.logger), follow.WithOnChange(ga.updateServers),
-		follow.WithReaderOrder(ga.readerOrder), follow.WithListInterval(ga.settings.listInterval()))
+		follow.WithReaderOrder(ga.readerOrder), follow.WithListInterval(ga.settings.listInterval()),
+		follow.WithMaxListGap(ga.settings.maxDelay()), follow.WithSyncInterval(ga.syncInterval))
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
 	self := peer.Member{Address: peer.Address(ga.settings.PeerAddress), DataCentre: ga.settings.DataCentre}
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -17,9 +17,12 @@
 	// stream in all, but at most maxCallerWait, which also holds for routes without a timeout.
 	callerWaitFactor = 2
 	maxCallerWait    = 2 * time.Minute
-	// maxSoleListAge is the age of the list of servers up to which this host alone judges that
-	// a service has only one software version.
-	maxSoleListAge = 5 * time.Second
+	// originSyncTimeout bounds the read of the list of servers by which a host makes sure that
+	// it knows all software versions of a service.
+	originSyncTimeout = 200 * time.Millisecond
+	// syncIntervalPerHost bounds the reads of the list of servers by which hosts judge where
+	// streams began: all hosts share the rate of the store.
+	syncIntervalPerHost = time.Millisecond
 	// minOriginRetryAfter is the least Retry-After of a request to resume a stream of unknown
 	// origin. Other hosts may know it.
 	minOriginRetryAfter = 300 * time.Millisecond
@@ -51,47 +54,104 @@
 	if !re.resumesStream() {
 		return nil
 	}
-	source := "host"
-	software, ok := ga.knownOrigin(re.headers.Resumes, re.service, re.maxStreamAge(), ga.mayJudgeAlone())
-	if !ok {
-		source = "peer"
-		software, ok = ga.peers.AskOrigin(ctx, peer.OriginRequest{
-			Stream: re.headers.Resumes, Service: re.service, MaxAge: mp.Duration(re.maxStreamAge()),
-		})
-	}
-	if !ok {
-		source = "unknown"
-	}
-	ga.counters.countOrigin(source)
+	software, source := ga.searchOrigin(ctx, peer.OriginRequest{
+		Stream: re.headers.Resumes, Service: re.service, MaxAge: mp.Duration(re.maxStreamAge()),
+	})
+	ga.counters.countOrigin(string(source))
 	re.log(ga.logger.Info(), "stream_resumed").Str("stream", string(re.headers.Resumes)).Str("resume_after", re.headers.LastEventID).
-		Str("service", string(re.service)).Str("software", string(software)).Str("source", source).
+		Str("service", string(re.service)).Str("software", string(software)).Str("source", string(source)).
 		Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).Dur("took_ms", ga.clock.Since(re.arrived)).
 		Msg("looked for the software version that began a stream")
-	if !ok {
+	if source == originUnknown {
 		return ga.originRefusal(re)
 	}
 	re.origin = software
 	return nil
 }
 
+// originSource names who knew the origin of a stream.
+type originSource string
+
+// The sources of origins: this host, another one, or nobody.
+const (
+	originHost    originSource = "host"
+	originPeer    originSource = "peer"
+	originUnknown originSource = "unknown"
+)
+
+// searchOrigin finds out at which software version a stream began, from this host or others.
+func (ga *Gateway) searchOrigin(ctx context.Context, rq peer.OriginRequest) (mp.SoftwareVersion, originSource) {
+	if software, ok := ga.knownOrigin(ctx, rq); ok {
+		return software, originHost
+	}
+	if software, ok := ga.peers.AskOrigin(ctx, rq); ok {
+		return software, originPeer
+	}
+	return "", originUnknown
+}
+
 // knownOrigin returns the software version at which a stream of a service began, as far as this
-// host knows: it has a record of the stream or, if judges is set, there was only one version in
-// the time in which the stream can have begun. A caller that doesn't name the stream doesn't
-// expect several versions: for it, one is enough that was the only one since this host started.
-func (ga *Gateway) knownOrigin(stream mp.RequestID, service mp.ServiceName, maxAge time.Duration, judges bool) (mp.SoftwareVersion, bool) {
+// host knows: it has a record of the stream, or there was only one version in the time in which
+// the stream can have begun.
+func (ga *Gateway) knownOrigin(ctx context.Context, rq peer.OriginRequest) (mp.SoftwareVersion, bool) {
+	if software, ok := ga.recordedOrigin(rq); ok {
+		return software, true
+	}
+	if _, ok := ga.soleSoftware(rq); !ok {
+		return "", false
+	}
+	if !ga.syncForOrigin(ctx, rq) && rq.Stream != "" {
+		return "", false
+	}
+	return ga.soleSoftware(rq)
+}
+
+// syncForOrigin reads the list of servers and reports whether it could: until it is read after
+// the question, the stream may have begun at a server of which this host hasn't heard.
+func (ga *Gateway) syncForOrigin(ctx context.Context, rq peer.OriginRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, originSyncTimeout)
+	defer cancel()
+	err := ga.follower.Sync(ctx)
+	if err != nil {
+		ga.logger.Info().Str("event", "origin_not_judged").Str("stream", string(rq.Stream)).Str("service", string(rq.Service)).
+			Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).Err(err).
+			Msg("can't make sure that the known software version is the only one")
+	}
+	return err == nil
+}
+
+// recordedOrigin returns the software version of the record of a stream.
+func (ga *Gateway) recordedOrigin(rq peer.OriginRequest) (mp.SoftwareVersion, bool) {
+	ga.originMu.Lock()
+	defer ga.originMu.Unlock()
+	return ga.origins.Software(ga.clock.Now(), rq.Stream, rq.Service)
+}
+
+// soleSoftware returns the only software version that a service had in the time in which a stream
+// can have begun, as far as this host has read the list of servers. A caller that doesn't name
+// the stream doesn't expect several versions: for it, one is enough that was the only one since
+// this host started.
+func (ga *Gateway) soleSoftware(rq peer.OriginRequest) (mp.SoftwareVersion, bool) {
 	now := ga.clock.Now()
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	if software, ok := ga.origins.Software(now, stream, service); ok {
-		return software, true
+	if rq.Stream == "" {
+		return ga.softwareHistory.SoleObserved(now, rq.Service, rq.MaxAge.Std())
 	}
-	switch {
-	case stream == "":
-		return ga.softwareHistory.SoleObserved(now, service, maxAge)
-	case judges:
-		return ga.softwareHistory.Sole(now, service, maxAge)
-	}
-	return "", false
+	return ga.currentHistory().Sole(now, rq.Service, rq.MaxAge.Std())
+}
+
+// syncInterval returns the shortest time between two reads of the list of servers by which this
+// host judges where streams began.
+func (ga *Gateway) syncInterval() time.Duration {
+	return max(follow.MinSyncInterval, time.Duration(ga.peers.MemberCount())*syncIntervalPerHost)
+}
+
+// currentHistory returns the history of software versions, which begins anew after a gap in the
+// confirmations of the list. The caller must hold originMu.
+func (ga *Gateway) currentHistory() *origin.History {
+	ga.softwareHistory.Restart(ga.view.Load().ListGapEndedAt)
+	return ga.softwareHistory
 }
 
 // unobserved returns how long from now on a time before now will reach back beyond what this
@@ -99,7 +159,7 @@
 func (ga *Gateway) unobserved(period time.Duration) time.Duration {
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
-	return ga.softwareHistory.Unobserved(ga.clock.Now(), period)
+	return ga.currentHistory().Unobserved(ga.clock.Now(), period)
 }
 
 // softwareOf returns the services and the software versions of servers.
@@ -111,12 +171,6 @@
 	return software
 }
 
-// mayJudgeAlone reports whether this host would know of a software version that serves
-// elsewhere: its list is current, or there are no other hosts.
-func (ga *Gateway) mayJudgeAlone() bool {
-	return ga.clock.Since(ga.view.Load().ListConfirmedAt) <= maxSoleListAge || ga.peers.MemberCount() == 0
-}
-
 // originRefusal returns the refusal of a request to resume a stream of unknown origin. The caller
 // should come back when this host can tell from its own list, if that is soon enough.
 func (ga *Gateway) originRefusal(re *request) *mp.Error {
@@ -152,19 +206,22 @@
 }
 
 // Origin implements peer.Delegate.
-func (ga *Gateway) Origin(rq peer.OriginRequest) peer.Origin {
-	software, _ := ga.knownOrigin(rq.Stream, rq.Service, rq.MaxAge.Std(), true)
+func (ga *Gateway) Origin(ctx context.Context, rq peer.OriginRequest) peer.Origin {
+	software, _ := ga.knownOrigin(ctx, rq)
 	return peer.Origin{Software: software}
 }
 
-// Origins implements peer.LoadDelegate.
+// Origins implements peer.LoadDelegate. Other hosts need no records of a service that has had
+// only one software version, as long as each of them can tell that from its list of servers.
 func (ga *Gateway) Origins(maxBytes int) origin.Report {
 	now := ga.clock.Now()
+	isCurrent := now.Sub(ga.view.Load().ListConfirmedAt) <= ga.settings.maxDelay()
 	ga.originMu.Lock()
 	defer ga.originMu.Unlock()
+	history := ga.currentHistory()
 	needsRecords := func(service mp.ServiceName) bool {
-		_, ok := ga.softwareHistory.Sole(now, service, ga.callerWaits[service])
-		return !ok
+		_, ok := history.Sole(now, service, ga.callerWaits[service])
+		return !ok || !isCurrent
 	}
 	return ga.origins.Report(now, needsRecords, maxBytes)
 }
--- /dev/null
+++ b/gateway/stale_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+// soleVersionTimeout is the timeout of the resumable route. Hosts that have known one version
+// for twice as long take it for the only one.
+const soleVersionTimeout = 200 * time.Millisecond
+
+// startSole starts a gateway with one engine of the old software and waits until its history of
+// the service reaches back far enough to tell where a stream began.
+func startSole(t *testing.T) (*fixture, *atomic.Int64) {
+	t.Helper()
+	resumed := &atomic.Int64{}
+	fx := startSoftware(t, func(software string) fakeserver.Handler {
+		return func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			if rq.LastEventID() > 0 {
+				resumed.Add(1)
+			}
+			return breakingEngine(software)(co, rq)
+		}
+	}, oldSoftware)
+	fx.setResumableRoute("timeout_ms", soleVersionTimeout.Milliseconds())
+	time.Sleep(2 * soleVersionTimeout)
+	got := fx.takeUp("before", "r-before")
+	require.NoError(t, got.err)
+	require.Equal(t, oldSoftware, softwareIn(t, got.body), "one version has served")
+	resumed.Store(0)
+	return fx, resumed
+}
+
+// TestHostBehindTheStoreDoesNotTakeItsVersionForTheOnlyOne guards against a stream that began at a
+// server of which this host hasn't heard yet, and goes on at one of another software version.
+func TestHostBehindTheStoreDoesNotTakeItsVersionForTheOnlyOne(t *testing.T) {
+	for name, isCutOff := range map[string]bool{"missed the change": false, "cut off from the store": true} {
+		t.Run(name, func(t *testing.T) {
+			fx, resumed := startSole(t)
+			fx.store.SetDropEvents(true)
+			if isCutOff {
+				fx.store.SetErrorStatus(http.StatusServiceUnavailable)
+			}
+			fx.addSoftware(breakingEngine, newSoftware)
+			got := fx.takeUp("again", "r-elsewhere")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
+			require.Zero(t, resumed.Load())
+		})
+	}
+}
+
+// TestHostBehindTheStoreDoesNotTellOthersWhereAStreamBegan guards against the same at a host that
+// has just started and asks one that hasn't heard of the new server.
+func TestHostBehindTheStoreDoesNotTellOthersWhereAStreamBegan(t *testing.T) {
+	fx, resumed := startSole(t)
+	second := fx.startHost("dc-1")
+	second.eventually(func() bool {
+		return second.takeUp(fmt.Sprint("warm-", time.Now().UnixNano()), "r-before").status == http.StatusOK
+	})
+	resumed.Store(0)
+	fx.store.SetDropEvents(true)
+	fx.store.SetErrorStatus(http.StatusServiceUnavailable)
+	fx.addSoftware(breakingEngine, newSoftware)
+	third := fx.startHost("dc-1")
+	got := third.takeUp("again", "r-elsewhere")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
+	require.Zero(t, resumed.Load())
+}
+
+// TestHostBehindTheStoreReadsItForACallerThatNamesNoStream guards against the same for a caller
+// that doesn't say which stream it takes up.
+func TestHostBehindTheStoreReadsItForACallerThatNamesNoStream(t *testing.T) {
+	fx, resumed := startSole(t)
+	fx.store.SetDropEvents(true)
+	fx.addSoftware(breakingEngine, newSoftware)
+	got := fx.post(resumablePath, "again", "prompt", "Last-Event-Id: 2")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
+	require.Zero(t, resumed.Load())
+}
--- a/origin/history.go
+++ b/origin/history.go
@@ -15,7 +15,7 @@
 // History remembers which software versions the servers of each service had lately. It is not
 // safe for concurrent use.
 type History struct {
-	// since is the time of the first observation; zero before it.
+	// since is the time from which on the observations are complete; zero before the first.
 	since time.Time
 	// listed are the versions of the last list, and leftAt is when others were last listed.
 	listed map[Server]bool
@@ -50,6 +50,13 @@
 	hi.listed = listed
 }
 
+// Restart records that the lists before a time may lack servers that have come and gone.
+func (hi *History) Restart(at time.Time) {
+	if !hi.since.IsZero() && hi.since.Before(at) {
+		hi.since = at
+	}
+}
+
 // Sole returns the only software version that servers of a service had in the time before now;
 // false if there were several, if it is unknown, or if the observations began later.
 func (hi *History) Sole(now time.Time, service mp.ServiceName, period time.Duration) (mp.SoftwareVersion, bool) {
@@ -70,8 +77,8 @@
 	return versions[0], true
 }
 
-// Unobserved returns how long from now on a time before now will reach back beyond the first
-// observation; zero if it doesn't.
+// Unobserved returns how long from now on a time before now will reach back beyond the time from
+// which on the observations are complete; zero if it doesn't.
 func (hi *History) Unobserved(now time.Time, period time.Duration) time.Duration {
 	if hi.since.IsZero() {
 		return period
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -142,3 +142,19 @@
 	require.True(t, ok)
 	require.Empty(t, software)
 }
+
+// TestVersionIsNotTheSoleOneBeforeAnIncompleteList guards against a version that is taken for the
+// only one, although servers of others may have come and gone unnoticed.
+func TestVersionIsNotTheSoleOneBeforeAnIncompleteList(t *testing.T) {
+	hi := origin.NewHistory()
+	hi.Observe(start, []origin.Server{{Service: service, Software: "v1"}})
+	gapEndedAt := start.Add(time.Minute)
+	hi.Restart(gapEndedAt)
+	hi.Restart(start)
+	now, period := gapEndedAt.Add(10*time.Second), 11*time.Second
+	_, ok := hi.Sole(now, service, period)
+	require.False(t, ok)
+	require.Equal(t, time.Second, hi.Unobserved(now, period))
+	_, ok = hi.Sole(now.Add(time.Second), service, period)
+	require.True(t, ok)
+}
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -33,10 +34,12 @@
 func (rd *recordingDelegate) MergeState(time.Time, peer.State)      {}
 func (rd *recordingDelegate) Configuration() peer.Configuration     { return peer.Configuration{} }
 func (rd *recordingDelegate) MergeConfiguration(peer.Configuration) {}
-func (rd *recordingDelegate) Origin(peer.OriginRequest) peer.Origin { return peer.Origin{} }
-func (rd *recordingDelegate) FastGossip() bool                      { return false }
-func (rd *recordingDelegate) LocalPeers() []peer.Address            { return nil }
-func (rd *recordingDelegate) RemoteContacts() []peer.Address        { return nil }
+func (rd *recordingDelegate) Origin(context.Context, peer.OriginRequest) peer.Origin {
+	return peer.Origin{}
+}
+func (rd *recordingDelegate) FastGossip() bool               { return false }
+func (rd *recordingDelegate) LocalPeers() []peer.Address     { return nil }
+func (rd *recordingDelegate) RemoteContacts() []peer.Address { return nil }
 func (rd *recordingDelegate) LocalLoads(int) (map[mp.ServerID]peer.Load, peer.Digest) {
 	return nil, peer.Digest{}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -51,7 +51,7 @@
 	// relative to the given time.
 	MergeState(at time.Time, received State)
 	// Origin returns what the host knows of where a stream began.
-	Origin(rq OriginRequest) Origin
+	Origin(ctx context.Context, rq OriginRequest) Origin
 	// FastGossip reports whether to use the short gossip interval, for example while
 	// the store is unavailable to this host.
 	FastGossip() bool
--- a/peer/origin.go
+++ b/peer/origin.go
@@ -97,7 +97,7 @@
 		no.replyError(ctx, conn, rq, jsonrpc2.CodeInvalidParams, err.Error())
 		return
 	}
-	no.reply(ctx, conn, rq, no.delegate.Origin(request))
+	no.reply(ctx, conn, rq, no.delegate.Origin(ctx, request))
 }
 
 // originGroups returns into how many groups the hosts of a data centre are divided, a power of
