--- a/backend/pool.go
+++ b/backend/pool.go
@@ -141,6 +141,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// IsUnacknowledged reports whether an error of an exchange means that the packets to the
+// server were not acknowledged in time.
+func IsUnacknowledged(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // IsInterrupted reports whether an error of an exchange means that this host closed the
 // connection.
 func IsInterrupted(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -162,6 +162,9 @@
 	if res.outcome == placement.Succeeded && !at.choice.Server.IsEngine {
 		ga.overflow.recordServiceTime(at.choice.Server.Service, ga.clock.Since(at.sentAt))
 	}
+	if backend.IsUnacknowledged(res.err) {
+		ga.partition.recordFailure(at.choice.Server.ID)
+	}
 	if len(re.segments) > 0 && ctx.Err() == nil && backend.IsBrokenOff(res.err) {
 		ga.inspector.submit(brokenAttempt{
 			request: re.headers.ID, server: at.choice.Server, segments: re.segments,
@@ -203,14 +206,19 @@
 func (ga *Gateway) connect(ctx context.Context, re *request, at *attempt) *result {
 	co, err := ga.backends.GetFor(ctx, string(re.headers.ID), at.choice.Server.Address, at.maxIdle)
 	if err != nil {
+		ga.partition.recordDial(ctx, at, err)
 		return &result{outcome: placement.Unreachable, err: err}
 	}
+	setUpTime := co.TakeSetUpTime()
+	if setUpTime > 0 { // not from the pool
+		ga.partition.recordDial(ctx, at, nil)
+	}
 	if at.choice.IsOverdue(ga.clock.Now()) {
 		co.Interrupt()
 		return &result{outcome: placement.Unreachable, err: errColdOverdue}
 	}
 	at.conn, at.sentAt = co, ga.clock.Now()
-	ga.overflow.observeRoundTrip(at.choice.Server.DataCentre, co.TakeSetUpTime())
+	ga.overflow.observeRoundTrip(at.choice.Server.DataCentre, setUpTime)
 	return nil
 }
 
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/partition"
 	"github.com/mangopaddle/mangopaddle/routing"
 )
 
@@ -30,6 +31,8 @@
 	cold           map[string]tally.Counter
 	checkedEnds    map[string]tally.Counter
 	origins        map[string]tally.Counter
+	partitions     map[partition.Change]tally.Counter
+	probes         map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
 	firstEvent     tally.Histogram
 }
@@ -50,6 +53,8 @@
 		cold:           map[string]tally.Counter{},
 		checkedEnds:    map[string]tally.Counter{},
 		origins:        map[string]tally.Counter{},
+		partitions:     map[partition.Change]tally.Counter{},
+		probes:         map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
 		firstEvent:     scope.Histogram("stream_first_event_seconds", latencyBuckets),
 	}
@@ -154,11 +159,38 @@
 	}).Inc(1)
 }
 
+// countPartitionChange counts a change of what this host knows of a partition from all backend
+// servers.
+func (co *counters) countPartitionChange(ch partition.Change) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.partitions, ch, "partition_changes", func() map[string]string {
+		return map[string]string{"change": ch.String()}
+	}).Inc(1)
+}
+
+// countPartitionProbes counts probes for a partition by their outcome: "connected" or "failed".
+func (co *counters) countPartitionProbes(outcome string, count int) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.probes, outcome, "partition_probes", func() map[string]string {
+		return map[string]string{"outcome": outcome}
+	}).Inc(int64(count))
+}
+
 // countBrokenStream counts a stream that was aborted before its end.
 func (co *counters) countBrokenStream() {
 	co.scope.Counter("streams_broken").Inc(1)
 }
 
+// indicator returns 1 for true and 0 for false.
+func indicator(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 func (ga *Gateway) updateGauges() {
 	snapshot := ga.view.Load()
 	scope := ga.counters.scope
@@ -173,6 +205,8 @@
 		scope.Tagged(map[string]string{"level": strconv.Itoa(level)}).Gauge("prefill_tokens").Update(float64(tokens))
 	}
 	scope.Gauge("segments_suspected").Update(float64(ga.suspectCount()))
+	scope.Gauge("partitioned").Update(indicator(ga.isPartitioned()))
+	scope.Gauge("hosts_accepting_forwards").Update(float64(ga.acceptingHosts()))
 	scope.Gauge("hosts_known").Update(float64(ga.peers.MemberCount()))
 	scope.Gauge("backend_connections_opened").Update(float64(ga.backends.DialCount()))
 	scope.Gauge("client_bytes_held").Update(float64(ga.limiters.budget.Used()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,7 @@
 	follower     *follow.Follower
 	backends     *backend.Pool
 	inspector    *inspector
+	partition    *partitionMonitor
 	counters     *counters
 	droppedLines func() int64 // number of dropped log lines
 
@@ -66,6 +67,9 @@
 	peers      *peer.Node
 	peerDialer peer.Option
 
+	forwardsMu sync.Mutex
+	forwards   *peer.ForwardTable
+
 	exceedingLogged map[exceedingKey]time.Time // used by the maintenance goroutine only
 
 	reloadMu sync.Mutex
@@ -219,6 +223,9 @@
 	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends, ga.recordCrash)
 	ga.inspector = inspector
 	ga.addCleanup(stopInspector)
+	monitor, stopMonitor := newPartitionMonitor(ga.clock, ga.logger, backends, ga.view, ga.counters)
+	ga.partition = monitor
+	ga.addCleanup(stopMonitor)
 	store, closeStore := platform.NewStore(ga.settings.StoreAddress, platform.WithStallTimeout(follow.StallTimeout))
 	ga.addCleanup(closeStore)
 	follower, stopFollower := follow.New(store, ga.view,
@@ -227,6 +234,7 @@
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
 	self := peer.Member{Address: peer.Address(ga.settings.PeerAddress), DataCentre: ga.settings.DataCentre}
+	ga.forwards = peer.NewForwardTable(self, newRandom())
 	peers, stopPeers, err := peer.New(self, peerAddresses(ga.settings.Seeds), ga,
 		peer.WithClock(ga.clock), peer.WithLogger(ga.logger), ga.peerDialer, peer.WithOnDial(ga.overflow.observeRoundTrip))
 	if err != nil {
@@ -235,7 +243,8 @@
 	ga.peers = peers
 	ga.addCleanup(stopPeers)
 	stopLoads, err := peer.NewLoadBroadcaster(ga.settings.Host, self, ga.settings.LoadAddress, peers, ga,
-		peer.WithBroadcasterClock(ga.clock), peer.WithBroadcasterLogger(ga.logger), ga.withDemands())
+		peer.WithBroadcasterClock(ga.clock), peer.WithBroadcasterLogger(ga.logger), ga.withDemands(),
+		peer.WithForwards(ga.listedForwards))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -21,6 +21,8 @@
 		Version:      snapshot.Version(),
 		ListPosition: peer.ListPosition(snapshot.ListPosition),
 		Evacuations:  snapshot.Evacuations,
+
+		AcceptsForwards: ga.acceptsForwards(),
 	}
 	if !snapshot.ListPosition.IsZero() {
 		di.ListAge = mp.Duration(ga.clock.Since(snapshot.ListConfirmedAt))
@@ -49,6 +51,7 @@
 func (ga *Gateway) MergeState(at time.Time, remote peer.State) {
 	ga.follower.ReportVersion(string(remote.From.Address), remote.Version)
 	ga.mergeEvacuations(string(remote.From.Address), remote.Evacuations)
+	ga.hearForwards(remote)
 	snapshot := ga.view.Load()
 	if remote.PackedServers != nil && snapshot.ListPosition.Before(mp.Position(remote.ListPosition)) {
 		ga.mergeServers(at, remote)
@@ -136,6 +139,7 @@
 	ga.observeHosts(peers + 1)
 	knownHosts := ga.hearMembers()
 	ga.updateSpeeds(ga.clock.Now())
+	ga.setForwardsInterval(peer.UpdateInterval(peers))
 	ga.placerMu.Lock()
 	defer ga.placerMu.Unlock()
 	ga.loadTable.SetUpdateInterval(peer.UpdateInterval(peers))
@@ -176,6 +180,7 @@
 	ga.placerMu.Unlock()
 	ga.overflow.receive(now, update)
 	ga.peers.MarkSeen(update.From)
+	ga.hearForwardsUpdate(now, update)
 	ga.mergeSuspects(now, update.Host, update.Suspects)
 	ga.mergeEvacuations(string(update.Host), update.Evacuations)
 	if update.Aggregate && !ga.sharesReads {
--- a/gateway/servers.go
+++ b/gateway/servers.go
@@ -53,10 +53,14 @@
 	ga.placerMu.Lock()
 	changes := ga.cold.SetEntries(now, entries)
 	ga.usesColdStart = slices.ContainsFunc(servers, mayBeCold)
-	if !slices.Equal(servers, ga.placedServers) {
+	changed := !slices.Equal(servers, ga.placedServers)
+	if changed {
 		ga.placer.SetServers(servers)
 	}
 	ga.placerMu.Unlock()
+	if changed {
+		ga.partition.setServers(servers)
+	}
 	ga.placedServers = servers
 	ga.logCold(now, changes)
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,6 +43,9 @@
 	MetricsAddress   string `json:"metrics"`
 	// LoadAddress is the UDP address for load updates. All hosts use the same port.
 	LoadAddress string `json:"loads"`
+	// ForwardAddress is the TCP address to listen on for requests that partitioned hosts
+	// forward; empty if this host forwards none and accepts none. All hosts use the same port.
+	ForwardAddress string `json:"forwards,omitempty"`
 	// Seeds are gossip addresses of other hosts; some may be stale.
 	Seeds []string `json:"seeds"`
 	// StoreAddress is the address of the platform's store.
@@ -160,6 +163,9 @@
 			add(ad.name, ad.value, "an IP address with a port, such as 10.0.0.1:8080")
 		}
 	}
+	if _, err := netip.ParseAddrPort(se.ForwardAddress); err != nil && se.ForwardAddress != "" {
+		add("forwards", se.ForwardAddress, "an IP address with a port")
+	}
 	for ix, seed := range se.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
 			add(fmt.Sprintf("seeds[%d]", ix), seed, "an IP address with a port")
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -119,6 +119,8 @@
 	// demands is nil if updates carry none; the times are when they were sent last.
 	demands                             func(aggregate bool) []Demand
 	demandsSentAt, aggregateDemandsSent time.Time
+	// forwards returns the hosts that accept forwards.
+	forwards func() []Address
 }
 
 // LoadBroadcasterOption configures a broadcaster.
@@ -155,6 +157,7 @@
 		conn:       conn,
 		recipients: recipients,
 		delegate:   delegate,
+		forwards:   func() []Address { return nil },
 	}
 	for _, opt := range opts {
 		opt(lb)
@@ -245,6 +248,9 @@
 	if err := update.checkSpeeds(); err != nil {
 		return LoadUpdate{}, errors.Trace(err)
 	}
+	if err := update.checkForwards(); err != nil {
+		return LoadUpdate{}, errors.Trace(err)
+	}
 	return update, nil
 }
 
@@ -296,6 +302,7 @@
 		update.Usage = lb.usage(&lb.aggregateUsageSentAt, true)
 		update.Speeds = lb.speeds(&lb.aggregateSpeedTurn, true)
 		update.Demands = lb.demandReport(true, &lb.aggregateDemandsSent)
+		update.Forwards = lb.forwards()
 		lb.write(update, lb.recipients.RemoteContacts())
 	}
 }
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -70,6 +70,9 @@
 	// KnownHosts is the number of hosts of the data centre that the sender knows, itself
 	// included; zero unless servers may be cold.
 	KnownHosts int `json:"hosts,omitempty"`
+	// AcceptsForwards reports that the sender accepts requests that a partitioned host
+	// forwards. Hosts of the previous release don't send it.
+	AcceptsForwards bool `json:"accepts_forwards,omitempty"`
 }
 
 // ListPosition is the position of the list of backend servers in the store's history, zero
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -94,6 +94,9 @@
 	// Origins are those of streams that the sender has begun to relay; nil unless servers of
 	// several software versions may serve. An update that has them says nothing of loads.
 	Origins origin.Report `json:"origins,omitempty"`
+	// Forwards are hosts of the sender's data centre that accept forwards. Only aggregates
+	// have them.
+	Forwards []Address `json:"forwards,omitempty"`
 }
 
 const (
--- a/peer/malformed_test.go
+++ b/peer/malformed_test.go
@@ -101,6 +101,8 @@
 		`{"host":"h","speeds":{"s":{"prefills":{"counts":[-1]}}}}`,
 		`{"host":"h","speeds":{"s":{"prefills":{"level":99}}}}`,
 		`{"host":"h","suspects":[{"segment":1,"quarantine_left":"9000h"}]}`,
+		`{"host":"h","forwards":["x"]}`,
+		`{"host":"h","forwards":[` + strings.Repeat(`"10.0.0.1:1",`, 8) + `"10.0.0.1:1"]}`,
 		`{"host":"h","origins":{"":{"v":["r-1"]}}}`,
 		`{"host":"h","origins":{"s":{"":["r-1"]}}}`,
 		`{"host":"h","origins":{"s":{"v":["a b"]}}}`,
