--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -96,13 +96,22 @@
 	other := *fx
 	other.setNewAddresses()
 	other.settings.Host = mp.HostID("host-" + other.settings.PeerAddress)
-	_, port, err := net.SplitHostPort(fx.settings.LoadAddress)
-	require.NoError(fx.t, err)
-	other.settings.LoadAddress = net.JoinHostPort(strings.Split(other.settings.PeerAddress, ":")[0], port)
+	other.settings.LoadAddress = samePort(fx.t, other.settings.PeerAddress, fx.settings.LoadAddress)
+	if fx.settings.ForwardAddress != "" {
+		other.settings.ForwardAddress = samePort(fx.t, other.settings.PeerAddress, fx.settings.ForwardAddress)
+	}
 	other.settings.Seeds = []string{fx.settings.PeerAddress}
 	return other.settings
 }
 
+// samePort returns the IP address of a host with the port of another address.
+func samePort(t *testing.T, host, address string) string {
+	t.Helper()
+	_, port, err := net.SplitHostPort(address)
+	require.NoError(t, err)
+	return net.JoinHostPort(strings.Split(host, ":")[0], port)
+}
+
 func (fx *fixture) start(opts ...gateway.Option) {
 	ga, stop, err := gateway.New(fx.settings, append(opts, gateway.WithLogger(zerolog.New(fx.logs)))...)
 	require.NoError(fx.t, err)
