--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -206,7 +206,7 @@
 	}
 	scope.Gauge("segments_suspected").Update(float64(ga.suspectCount()))
 	scope.Gauge("partitioned").Update(indicator(ga.isPartitioned()))
-	scope.Gauge("hosts_accepting_forwards").Update(float64(ga.acceptingHosts()))
+	scope.Gauge("hosts_accepting_forwards").Update(float64(len(ga.forwardPeers())))
 	scope.Gauge("hosts_known").Update(float64(ga.peers.MemberCount()))
 	scope.Gauge("backend_connections_opened").Update(float64(ga.backends.DialCount()))
 	scope.Gauge("client_bytes_held").Update(float64(ga.limiters.budget.Used()))
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -247,10 +247,3 @@
 	ga.forwards.SetUpdateInterval(interval)
 	ga.forwards.Expire(ga.clock.Now())
 }
-
-// acceptingHosts returns the number of other hosts that accept forwards.
-func (ga *Gateway) acceptingHosts() int {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	return ga.forwards.Count(ga.clock.Now())
-}
--- a/partition/detector_test.go
+++ b/partition/detector_test.go
@@ -148,6 +148,7 @@
 		"dead service":                  {[]int{5, 5}, 10, func(se partition.Server) bool { return se.Service != "service-0" }},
 		"only requests to dead service": {[]int{300, 1}, 300, func(se partition.Server) bool { return se.Service != "service-0" }},
 		"all services but one":          {[]int{40, 40, 40, 40, 2}, 162, func(se partition.Server) bool { return se.Service == "service-4" }},
+		"one of many services":          {[]int{3, 3, 3, 3, 3, 3, 3, 1}, 21, func(se partition.Server) bool { return se.Service == "service-7" }},
 		"no traffic":                    {[]int{5, 5}, 0, none},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -180,6 +181,15 @@
 	fl.targets, fl.reachable = 0, func(se partition.Server) bool { return se.ID == "s0-0" }
 	fl.run(10 * time.Second)
 	require.True(t, fl.detector.IsPartitioned())
+	for _, wait := range []time.Duration{0, 2 * time.Second} {
+		fl.detector.RecordConnection(fl.now, "s0-0")
+		if wait == 0 {
+			fl.detector.RecordFailure(fl.now, "s0-0")
+		}
+		fl.now = fl.now.Add(wait)
+		require.Equal(t, partition.None, fl.detector.RecordConnection(fl.now, "s0-1"))
+		fl.detector.RecordFailure(fl.now, "s0-1")
+	}
 }
 
 // TestProbesOfAHeldUpHostDoNotCount guards against a host that takes its own pause, in which
@@ -237,6 +247,7 @@
 				ch = de.RecordFailure(now, server)
 			case 3:
 				ch, connections = de.RecordConnection(now, server), 1
+				require.Zero(t, de.Status().Failed)
 			default:
 				if len(round) == 0 {
 					round = de.Probes(now)
--- a/peer/forwards.go
+++ b/peer/forwards.go
@@ -143,9 +143,3 @@
 	ft.random.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
 	return hosts[:min(len(hosts), maxListedForwards)]
 }
-
-// Count returns the number of hosts that accept forwards.
-func (ft *ForwardTable) Count(now time.Time) int {
-	ft.Expire(now)
-	return len(ft.hosts)
-}
--- a/peer/forwards_test.go
+++ b/peer/forwards_test.go
@@ -64,12 +64,12 @@
 		ft.AddUpdate(start, aggregateOf("dc-2", far.Address))
 		require.Len(t, hostsOf(ft, start.Add(7*interval)), 2, "two updates of an idle host are lost")
 		require.Equal(t, []peer.Address{far.Address}, hostsOf(ft, start.Add(1500*time.Millisecond+8*interval)))
-		require.Zero(t, ft.Count(start.Add(3*time.Second+16*interval)))
+		require.Empty(t, hostsOf(ft, start.Add(3*time.Second+16*interval)))
 	}
 	ft := newForwardTable()
 	ft.Add(start, near, accepting)
 	ft.AddUpdate(start, peer.LoadUpdate{From: near})
-	require.Zero(t, ft.Count(start))
+	require.Empty(t, hostsOf(ft, start))
 	ft.AddUpdate(start, aggregateOf("dc-2", far.Address, "10.0.2.2:1"))
 	ft.AddUpdate(start, aggregateOf("dc-2", "10.0.2.2:1"))
 	require.Equal(t, []peer.Address{"10.0.2.2:1"}, hostsOf(ft, start))
@@ -81,11 +81,11 @@
 	for _, address := range []peer.Address{"", "x", "10.0.0.1", "10.0.0.1:x"} {
 		ft.Add(start, peer.Member{Address: address, DataCentre: "dc-1"}, accepting)
 	}
-	require.Zero(t, ft.Count(start))
+	require.Empty(t, hostsOf(ft, start))
 	for number := range 10_000 {
 		ft.Add(start, peer.Member{Address: peer.Address(fmt.Sprintf("10.1.%d.%d:1", number/250, number%250)), DataCentre: "dc-1"}, accepting)
 	}
-	require.Equal(t, 4096, ft.Count(start))
+	require.Len(t, hostsOf(ft, start), 4096)
 	require.Len(t, ft.Listed(start, true), 8)
 	require.Equal(t, []peer.Address{"10.0.0.1:1"}, newForwardTable().Listed(start, true))
 	require.Empty(t, newForwardTable().Listed(start, false))
