--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -194,8 +194,8 @@
 	}
 	line := pm.logger.WithLevel(level).Str("event", event).Int("servers", after.Servers).Int("failed", st.Failed).
 		Int("connected", st.Connected).Dur("list_age_ms", now.Sub(pm.view.Load().ListConfirmedAt))
-	if !st.FirstFailureAt.IsZero() {
-		line = line.Dur("failing_ms", now.Sub(st.FirstFailureAt))
+	if !st.FailingSince.IsZero() {
+		line = line.Dur("failing_ms", now.Sub(st.FailingSince))
 	}
 	if !before.Since.IsZero() {
 		line = line.Dur("lasted_ms", now.Sub(before.Since))
--- a/partition/detector.go
+++ b/partition/detector.go
@@ -79,10 +79,10 @@
 // Status is what a Detector knows.
 type Status struct {
 	Servers int
-	// Failed is the number of servers to which dials have failed since the last connection;
-	// FirstFailureAt is the time of the first of these failures that still counts.
-	Failed         int
-	FirstFailureAt time.Time
+	// Failed is the number of servers to which dials have failed since the last connection, and
+	// FailingSince the time of the first of these failures; zero if there is none.
+	Failed       int
+	FailingSince time.Time
 	// Connected is the number of servers that have accepted a connection during the partition.
 	Connected int
 	// Since is the begin of the suspicion or the partition; zero if there is none.
@@ -106,7 +106,8 @@
 	state   state
 	since   time.Time
 	// failed holds the time of the last failure by server, since the last connection.
-	failed map[mp.ServerID]time.Time
+	failed       map[mp.ServerID]time.Time
+	failingSince time.Time
 	// connected holds the servers that have accepted a connection during a partition.
 	connected map[mp.ServerID]time.Time
 	// probing reports that a round of probes is under way; it began at roundAt.
@@ -139,6 +140,9 @@
 	if !de.listed[id] {
 		return None
 	}
+	if len(de.failed) == 0 {
+		de.failingSince = now
+	}
 	de.failed[id] = now
 	delete(de.connected, id)
 	return de.judge(now)
@@ -217,10 +221,8 @@
 // Status returns what is known now.
 func (de *Detector) Status() Status {
 	st := Status{Servers: len(de.servers), Failed: len(de.failed), Connected: len(de.connected), Since: de.since}
-	for _, at := range de.failed {
-		if st.FirstFailureAt.IsZero() || at.Before(st.FirstFailureAt) {
-			st.FirstFailureAt = at
-		}
+	if st.Failed > 0 {
+		st.FailingSince = de.failingSince
 	}
 	return st
 }
