--- a/backend/pool.go
+++ b/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -66,6 +67,12 @@
 	return func(po *Pool) { po.buffers = buffers }
 }
 
+// WithLocalAddress sets the IP address that connections are opened from; the default is the
+// system's choice.
+func WithLocalAddress(address netip.Addr) Option {
+	return func(po *Pool) { po.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0)) }
+}
+
 // New returns an empty pool and a function that closes its idle connections.
 func New(opts ...Option) (*Pool, func()) {
 	po := &Pool{clock: clockwork.NewRealClock(), idle: map[string][]*Conn{}, buffers: NewBuffers(defaultBufferLimit)}
--- a/clientlimit/report.go
+++ b/clientlimit/report.go
@@ -34,6 +34,8 @@
 	// ReasonSlowSender and ReasonSlowReader: too little progress in the window.
 	ReasonSlowSender Reason = "slow_sender"
 	ReasonSlowReader Reason = "slow_reader"
+	// ReasonStranger is a connection to a listener for hosts from an address of no known host.
+	ReasonStranger Reason = "stranger"
 )
 
 // reportInterval is the minimum time between two log lines of one reason.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,12 +37,14 @@
 	// mayHaveRun reports that the backend server may have run the request.
 	mayHaveRun bool
 	err        error
+	// refusal is the error of another host to which the request was forwarded, if it sent one.
+	refusal *mp.Error
 }
 
 // selectServer chooses the backend server for the next attempt, and records and logs the
 // start of the attempt. It returns an error if there is none, as chooseServer does.
 func (ga *Gateway) selectServer(re *request) (placement.Choice, *mp.Error) {
-	ch, refusal := ga.chooseServer(re, ga.placementRequest(re), re.mayHaveRun)
+	ch, refusal := ga.chooseServer(re, ga.placementRequest(re), re.mayBeLate())
 	if refusal == nil {
 		ga.logPlacement(re, ch)
 	}
@@ -53,6 +55,12 @@
 // attempt with the placer. It returns an error if no server is available, or if
 // the response is expected to start too late and that matters.
 func (ga *Gateway) chooseServer(re *request, placementRequest *placement.Request, mayBeLate bool) (placement.Choice, *mp.Error) {
+	if ch, ok := ga.chooseHost(re); ok {
+		return ch, nil
+	}
+	if re.originLeft && re.stream == nil {
+		return placement.Choice{}, ga.originRefusal(re)
+	}
 	now := ga.clock.Now()
 	ga.overflow.restrict(placementRequest)
 	ga.placerMu.Lock()
@@ -84,6 +92,10 @@
 // logPlacement logs the choice of a backend server with what it was based on.
 func (ga *Gateway) logPlacement(re *request, ch placement.Choice) {
 	now := ga.clock.Now()
+	if ch.Server.IsHost {
+		ga.logForward(re, ch)
+		return
+	}
 	line := re.log(ga.logger.Info(), "placed").Str("route", string(re.route.Name)).Str("service", string(re.service)).
 		Str("server", string(ch.Server.ID)).Int("attempt", re.attempts+1).Bool("home", ch.PrefixCached).
 		Int("priority", re.rank.Priority).Int("in_flight", ch.InFlight).Int64("unread", int64(ch.PrefillTokens)).Dur("expected_ms", ch.ExpectedLatency).
@@ -128,7 +140,7 @@
 		if replacement == nil {
 			return at.choice, res
 		}
-		re.exclude(at.choice.Server.ID)
+		re.exclude(at.choice.Server)
 		ga.logFailedAttempt(re, at.choice, res, "taken over by "+string(replacement.choice.Server.ID))
 		at = replacement
 	}
@@ -153,6 +165,10 @@
 // endAttempt closes an attempt and tells the placer and the inspector how it ended.
 func (ga *Gateway) endAttempt(ctx context.Context, re *request, at *attempt, res result) {
 	at.close()
+	if at.choice.Server.IsHost {
+		ga.recordForward(at, res)
+		return
+	}
 	if ctx.Err() != nil && res.outcome != placement.Succeeded {
 		res.outcome = placement.Cancelled
 	}
@@ -176,8 +192,8 @@
 		if res := ga.connect(ctx, re, at); res != nil {
 			return *res
 		}
-		re.attempts++
 		rq := re.backendRequest(at.choice, at.sentAt)
+		re.attempts++
 		re.hedge.release(re.responseTimeout(at.choice))
 		if res := ga.send(ctx, re, at, rq); res != nil {
 			return *res
@@ -201,7 +217,7 @@
 // connect takes a pooled connection or opens a new one. It returns nil, or the result of
 // the failed attempt.
 func (ga *Gateway) connect(ctx context.Context, re *request, at *attempt) *result {
-	co, err := ga.backends.GetFor(ctx, string(re.headers.ID), at.choice.Server.Address, at.maxIdle)
+	co, err := ga.poolOf(at.choice.Server).GetFor(ctx, string(re.headers.ID), at.choice.Server.Address, at.maxIdle)
 	if err != nil {
 		return &result{outcome: placement.Unreachable, err: err}
 	}
@@ -220,14 +236,20 @@
 	matches := func(response *http.Response) bool {
 		at.headers = platform.DecodeResponseHeaders(response) // those of the response that Send returns stay
 		matches := re.matches(at.headers, at.conn.Reused())
-		ga.recordNotices(re, at.choice, at.headers, matches)
+		if !at.choice.Server.IsHost {
+			ga.recordNotices(re, at.choice, at.headers, matches)
+		}
 		return matches
 	}
-	ex, err := at.conn.Send(ctx, ga.backends, rq, re.body, matches)
+	ex, err := at.conn.Send(ctx, ga.poolOf(at.choice.Server), rq, re.body, matches)
 	if err != nil {
 		return &result{outcome: placement.Failed, mayHaveRun: true, err: err}
 	}
 	at.exchange = ex
+	if at.choice.Server.IsHost {
+		ga.receiveHostResponse(re, at)
+		return nil
+	}
 	if at.headers.Leaving {
 		ex.CloseAfterUse()
 	}
@@ -253,7 +275,7 @@
 // response if it is not a stream, after which another server is asked too; zero for none.
 // It applies only to repeatable requests that have attempts left.
 func (re *request) responseTimeout(ch placement.Choice) time.Duration {
-	if !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.LatencyTarget <= 0 {
+	if ch.Server.IsHost || !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.LatencyTarget <= 0 {
 		return 0
 	}
 	return max(time.Duration(timeoutTargetFactor*float64(re.route.LatencyTarget)), timeoutExpectedFactor*ch.ExpectedLatency)
@@ -272,19 +294,11 @@
 // backendRequest returns the request to send to the backend server.
 func (re *request) backendRequest(ch placement.Choice, now time.Time) *http.Request {
 	he := re.forwardHeader.Clone()
-	fo := platform.ForwardHeaders{
-		Server:      ch.Server.ID,
-		Remaining:   re.remaining(now),
-		Priority:    re.rank.Order,
-		HasPriority: ch.Server.IsEngine,
-	}
-	if re.organisation != nil {
-		fo.Organisation = re.organisation.ID
-	}
-	if re.stream != nil {
-		fo.LastEventID = re.stream.lastEventID()
+	if ch.Server.IsHost {
+		re.hostRequest(now).Set(he, re.rq.Header)
+	} else {
+		re.serverHeaders(ch, now).Set(he)
 	}
-	fo.Set(he)
 	opaque, query, _ := strings.Cut(target(re.rq), "?")
 	rq := &http.Request{
 		Method:        re.rq.Method,
@@ -299,10 +313,30 @@
 	return rq
 }
 
+// serverHeaders returns the headers that are set on a request to a backend server.
+func (re *request) serverHeaders(ch placement.Choice, now time.Time) platform.ForwardHeaders {
+	fo := platform.ForwardHeaders{
+		Server:      ch.Server.ID,
+		Remaining:   re.remaining(now),
+		Priority:    re.rank.Order,
+		HasPriority: ch.Server.IsEngine,
+	}
+	if re.organisation != nil {
+		fo.Organisation = re.organisation.ID
+	}
+	if re.stream != nil {
+		fo.LastEventID = re.stream.lastEventID()
+	}
+	return fo
+}
+
 // checkRetry logs a failed attempt and decides whether to retry. It returns nil
 // for a retry, and otherwise the reason against it.
 func (ga *Gateway) checkRetry(ctx context.Context, re *request, ch placement.Choice, res result) *mp.Error {
-	re.exclude(ch.Server.ID)
+	re.exclude(ch.Server)
+	if ch.Server.IsHost {
+		return ga.checkForwardRetry(ctx, re, ch, res)
+	}
 	reason := ga.retryRefusal(ctx, re, res)
 	outcome := "retried"
 	if reason != nil {
@@ -352,7 +386,7 @@
 		return mp.NewError(mp.KindBackendFailed, "servers crash under such prompts: %v", res.err)
 	case re.attempts >= re.route.MaxAttempts && (res.mayHaveRun || res.outcome == placement.Rejected):
 		return mp.NewError(mp.KindOverloaded, "%d attempts: %v", re.attempts, res.err)
-	case len(re.tried) >= maxServersTried:
+	case len(re.tried) >= maxServersTried && !ga.canForward(re):
 		return mp.NewError(mp.KindNoBackend, "%d servers tried: %v", len(re.tried), res.err)
 	}
 	return nil
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -30,6 +30,8 @@
 	cold           map[string]tally.Counter
 	checkedEnds    map[string]tally.Counter
 	origins        map[string]tally.Counter
+	forwarded      map[string]tally.Counter
+	received       map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
 	firstEvent     tally.Histogram
 }
@@ -50,6 +52,8 @@
 		cold:           map[string]tally.Counter{},
 		checkedEnds:    map[string]tally.Counter{},
 		origins:        map[string]tally.Counter{},
+		forwarded:      map[string]tally.Counter{},
+		received:       map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
 		firstEvent:     scope.Histogram("stream_first_event_seconds", latencyBuckets),
 	}
@@ -154,6 +158,26 @@
 	}).Inc(1)
 }
 
+// countForwarded counts a request that was forwarded to another host, by how that ended:
+// "answered", "refused" as not run, "failed", "unreachable" or "cancelled".
+func (co *counters) countForwarded(outcome string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.forwarded, outcome, "requests_forwarded", func() map[string]string {
+		return map[string]string{"outcome": outcome}
+	}).Inc(1)
+}
+
+// countReceivedForwarded counts a request that another host has forwarded: "accepted" or
+// "refused".
+func (co *counters) countReceivedForwarded(outcome string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.received, outcome, "requests_received_forwarded", func() map[string]string {
+		return map[string]string{"outcome": outcome}
+	}).Inc(1)
+}
+
 // countBrokenStream counts a stream that was aborted before its end.
 func (co *counters) countBrokenStream() {
 	co.scope.Counter("streams_broken").Inc(1)
@@ -175,6 +199,9 @@
 	scope.Gauge("segments_suspected").Update(float64(ga.suspectCount()))
 	scope.Gauge("hosts_known").Update(float64(ga.peers.MemberCount()))
 	scope.Gauge("backend_connections_opened").Update(float64(ga.backends.DialCount()))
+	if ga.forwards != nil {
+		scope.Gauge("forward_connections_opened").Update(float64(ga.forwards.DialCount()))
+	}
 	scope.Gauge("client_bytes_held").Update(float64(ga.limiters.budget.Used()))
 	scope.Gauge("client_connections").Update(float64(ga.limiters.callers.ConnectionCount()))
 	scope.Gauge("log_lines_dropped").Update(float64(ga.droppedLines()))
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -42,13 +42,26 @@
 	case <-ctx.Done():
 	}
 	ga.refusing.Store(true)
-	if err := ga.callerServer.Drain(ctx, func() bool { return ga.inFlight.Load() > 0 }); err != nil {
+	if err := ga.drainServers(ctx); err != nil {
 		return errors.Annotatef(err, "%d requests still in flight at shutdown", ga.inFlight.Load())
 	}
 	ga.logger.Info().Str("event", "stopped").Msg("host drained")
 	return nil
 }
 
+// drainServers drains the servers for callers and for other hosts' requests.
+func (ga *Gateway) drainServers(ctx context.Context) error {
+	busy := func() bool { return ga.inFlight.Load() > 0 }
+	err := ga.callerServer.Drain(ctx, busy)
+	if ga.forwardServer == nil {
+		return errors.Trace(err)
+	}
+	if forwardErr := ga.forwardServer.Drain(ctx, busy); err == nil {
+		err = forwardErr
+	}
+	return errors.Trace(err)
+}
+
 // stopRefusal returns the reason not to send a request to a server because this host stops
 // before its response is expected to be complete, or nil. Requests that may be repeated are
 // sent if half of them would be in time: their callers can go on elsewhere.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,15 +39,21 @@
 // Gateway is one entry host: a reverse proxy that routes callers' requests to backend
 // servers.
 type Gateway struct {
-	settings     Settings
-	clock        clockwork.Clock
-	logger       zerolog.Logger
-	view         *follow.View
-	follower     *follow.Follower
-	backends     *backend.Pool
-	inspector    *inspector
-	counters     *counters
-	droppedLines func() int64 // number of dropped log lines
+	settings Settings
+	clock    clockwork.Clock
+	logger   zerolog.Logger
+	view     *follow.View
+	follower *follow.Follower
+	backends *backend.Pool
+	// forwards is for connections to other hosts; nil if the settings have no address for
+	// forwarded requests.
+	forwards    *backend.Pool
+	forwardPort string // of all hosts
+	// forwardPeersFunc returns the hosts to which requests are forwarded; nil for none.
+	forwardPeersFunc func() []peer.Address
+	inspector        *inspector
+	counters         *counters
+	droppedLines     func() int64 // number of dropped log lines
 
 	placerMu  sync.Mutex
 	placer    *placement.Placer
@@ -125,6 +131,7 @@
 	// the maintenance goroutine uses it.
 	refusedSpeeds  map[mp.ServiceName]int64
 	callerServer   *httpserver.Server
+	forwardServer  *httpserver.Server // nil without an address for forwarded requests
 	limiters       *limiters
 	cleanups       []func()
 	listenerErrors chan error
@@ -216,6 +223,9 @@
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock), backend.WithBuffers(ga.buffers))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
+	if err := ga.openForwards(); err != nil {
+		return errors.Trace(err)
+	}
 	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends, ga.recordCrash)
 	ga.inspector = inspector
 	ga.addCleanup(stopInspector)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -24,17 +24,26 @@
 
 // serveCaller handles a request of a caller.
 func (ga *Gateway) serveCaller(rw http.ResponseWriter, rq *http.Request) {
-	re := &request{rw: rw, rq: rq, arrived: ga.clock.Now(), snapshot: ga.view.Load()}
+	ga.serveRequest(ga.newRequest(rw, rq))
+}
+
+// newRequest returns the state of a request that has just arrived.
+func (ga *Gateway) newRequest(rw http.ResponseWriter, rq *http.Request) *request {
+	return &request{rw: rw, rq: rq, arrived: ga.clock.Now(), snapshot: ga.view.Load()}
+}
+
+// serveRequest handles a request, of a caller or forwarded by another host.
+func (ga *Gateway) serveRequest(re *request) {
 	re.held = ga.buffers.Reserve()
 	defer re.held.Release()
 	defer re.releaseBody()
 	ga.inFlight.Add(1)
 	defer ga.inFlight.Add(-1)
-	if ga.draining.Load() || len(rq.TransferEncoding) > 0 {
+	if ga.draining.Load() || len(re.rq.TransferEncoding) > 0 {
 		// A draining host closes its connections. For a chunked request, net/http does
 		// not report whether it also had a Content-Length: what follows could be smuggled
 		// request data, so the connection is not reused.
-		rw.Header().Set("Connection", "close")
+		re.rw.Header().Set("Connection", "close")
 	}
 	ga.awaitConfiguration(re)
 	if err := ga.admit(re); err != nil {
@@ -75,6 +84,9 @@
 func (ga *Gateway) admit(re *request) *mp.Error {
 	headers, err := platform.DecodeRequestHeaders(re.rq.Header)
 	re.headers, re.segments = headers, sharedSegments(headers)
+	if refusal := ga.hostRequestRefusal(re); refusal != nil {
+		return refusal
+	}
 	table := re.snapshot.Table
 	if table == nil {
 		return mp.NewError(mp.KindNotConfigured, "no configuration yet")
@@ -167,6 +179,7 @@
 	}
 	line.Msg("request refused")
 	platform.SetErrorHeaders(re.rw.Header(), re.headers.ID, retryAfter)
+	re.setHostError(err.Kind)
 	re.rw.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	text := response.Code + ": " + strings.ReplaceAll(err.Error(), "\n", " ") + "\n"
 	re.rw.WriteHeader(response.Status)
@@ -176,7 +189,9 @@
 // dispatch sends the request to backend servers until one attempt succeeds or no
 // retry is allowed.
 func (ga *Gateway) dispatch(ctx context.Context, re *request) {
-	ga.creditRetryBudget(re)
+	if !ga.canForward(re) { // otherwise the other host credits its own budget
+		ga.creditRetryBudget(re)
+	}
 	for {
 		err := ga.stopRefusal(re)
 		if err == nil {
@@ -217,7 +232,13 @@
 			Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).
 			Dur("took_ms", ga.clock.Since(re.arrived)).Msg("stream aborted before its end")
 		ga.counters.countBrokenStream()
+		if re.forwarded != nil {
+			platform.SetBrokenOff(re.rw.Header(), re.attempts)
+			return
+		}
 		panic(http.ErrAbortHandler) // aborts the connection, so that the stream does not look complete
+	case err == re.hostRefusal:
+		ga.respondError(re, err)
 	case re.lastFailure != nil:
 		ga.writeResponse(re, re.lastFailure)
 	case ctx.Err() == context.DeadlineExceeded && re.mayHaveRun:
@@ -235,6 +256,7 @@
 	for name, values := range response.header {
 		he[name] = values
 	}
+	re.setHostResponse(response.server)
 	re.rw.WriteHeader(response.status)
 	_, err := re.rw.Write(response.body)
 	ga.recordResponse(re, response.server, response.status, err)
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -43,6 +43,9 @@
 	conn     *backend.Conn
 	exchange *backend.Exchange
 	headers  platform.ResponseHeaders
+	// hostResponse is of the response of another host, and hostErr why that is none.
+	hostResponse platform.HostResponse
+	hostErr      error
 	// cancel ends an attempt that a hedge has started; nil for others.
 	cancel context.CancelFunc
 	// firstEventSeen reports that the first event or the whole buffered response has
@@ -214,7 +217,7 @@
 // one takes over, the silent server goes on or no other one may be asked. The caller must
 // hold mu, which is released meanwhile.
 func (he *hedge) askOthers(silence time.Duration) {
-	he.re.exclude(he.at.choice.Server.ID)
+	he.re.exclude(he.at.choice.Server)
 	res := result{mayHaveRun: true, err: errSilent}
 	for {
 		ch, refused := he.chooseOther(res)
@@ -316,7 +319,7 @@
 		re.attempts--
 	}
 	ga.endAttempt(he.ctx, re, at, *res)
-	re.exclude(ch.Server.ID)
+	re.exclude(ch.Server)
 	ga.logFailedAttempt(re, ch, *res, "still silent")
 	return res
 }
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -21,8 +21,9 @@
 
 // limiters bound the clients of the listeners. They share one budget of memory.
 type limiters struct {
-	callers, readiness, metrics *clientlimit.Limiter
-	budget                      *clientlimit.Budget
+	callers, readiness, metrics, hosts *clientlimit.Limiter
+	budget                             *clientlimit.Budget
+	reporter                           *clientlimit.Reporter
 }
 
 func newLimiters(settings Settings, logger zerolog.Logger, scope tally.Scope) *limiters {
@@ -34,17 +35,25 @@
 		callers:   clientlimit.New(clientlimit.CallerLimits(budget.Limit(), descriptors), budget, reporter),
 		readiness: clientlimit.New(operators, budget, reporter),
 		metrics:   clientlimit.New(operators, budget, reporter),
+		hosts:     clientlimit.New(clientlimit.CallerLimits(budget.Limit()/2, descriptors/2), budget, reporter),
 		budget:    budget,
+		reporter:  reporter,
 	}
 }
 
-// configure applies the limits of a configuration to callers.
+// configure applies the limits of a configuration to callers and to the hosts that forward
+// requests.
 func (li *limiters) configure(limits routing.Limits) {
-	li.callers.Configure(clientlimit.Configured{
+	configured := clientlimit.Configured{
 		MaxHeaderBytes: limits.MaxHeaderBytes,
 		HeaderTimeout:  limits.HeaderTimeout,
 		IdleTimeout:    limits.IdleTimeout,
-	})
+	}
+	li.callers.Configure(configured)
+	if configured.MaxHeaderBytes > 0 {
+		configured.MaxHeaderBytes += forwardHeaderBytes
+	}
+	li.hosts.Configure(configured)
 }
 
 // listen starts the HTTP servers for callers, readiness checks and metrics.
@@ -55,6 +64,9 @@
 	if err != nil {
 		return errors.Annotate(err, "listener for callers")
 	}
+	if err = ga.listenForwards(); err != nil {
+		return errors.Annotate(err, "listener for other hosts' requests")
+	}
 	if _, err = ga.serve(ga.settings.ReadinessAddress, http.HandlerFunc(ga.serveReadiness), ga.limiters.readiness); err != nil {
 		return errors.Annotate(err, "listener for readiness")
 	}
@@ -70,16 +82,25 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	return ga.serveOn(listener, handler, limiter, opts...), nil
+}
+
+// serveOn is serve with a listener.
+func (ga *Gateway) serveOn(listener net.Listener, handler http.Handler, limiter *clientlimit.Limiter, opts ...httpserver.Option) *httpserver.Server {
 	server, stop := httpserver.New(listener, handler, func(err error) { ga.listenerErrors <- err },
 		append(opts, httpserver.WithLimiter(limiter))...)
 	ga.addCleanup(stop)
-	return server, nil
+	return server
 }
 
 // refuseCaller responds to a request for which the host has no room.
 func (ga *Gateway) refuseCaller(rw http.ResponseWriter, rq *http.Request) {
-	re := &request{rw: rw, rq: rq, arrived: ga.clock.Now(), snapshot: ga.view.Load()}
-	headers, _ := platform.DecodeRequestHeaders(rq.Header) // the refusal only needs the identifier
+	ga.refuse(ga.newRequest(rw, rq))
+}
+
+// refuse responds to a request for which the host has no room.
+func (ga *Gateway) refuse(re *request) {
+	headers, _ := platform.DecodeRequestHeaders(re.rq.Header) // the refusal only needs the identifier
 	re.headers = headers
 	ga.respondError(re, mp.NewError(mp.KindOverloaded, "no room for another request"))
 }
--- a/gateway/maintain.go
+++ b/gateway/maintain.go
@@ -19,10 +19,12 @@
 	if !ga.maintainedAt.IsZero() && gap > pauseThreshold {
 		ga.logger.Warn().Str("event", "paused").Dur("gap_ms", gap).Msg("machine was paused; closing idle connections and refreshing store data")
 		ga.backends.CloseIdle()
+		ga.closeIdleForwards()
 		ga.follower.Refresh()
 	}
 	ga.maintainedAt = now
 	ga.backends.Prune()
+	ga.pruneForwards()
 	ga.expireCold()
 	ga.updateGauges()
 	ga.observeFairness(now)
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -51,8 +51,16 @@
 	if !re.resumesStream() {
 		return nil
 	}
+	if re.forwarded != nil && re.forwarded.Software != "" {
+		re.origin = re.forwarded.Software
+		return nil
+	}
 	source := "host"
 	software, ok := ga.knownOrigin(re.headers.Resumes, re.service, re.maxStreamAge(), ga.mayJudgeAlone())
+	if !ok && ga.canForward(re) {
+		re.originLeft = true
+		return nil
+	}
 	if !ok {
 		source = "peer"
 		software, ok = ga.peers.AskOrigin(ctx, peer.OriginRequest{
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -36,7 +36,7 @@
 // so for minAnswerTime, or the answer is complete, the prompt is known to be sound.
 func (ga *Gateway) recordProgress(re *request, complete bool) {
 	progress := &re.hedge.at.progress
-	if len(re.segments) == 0 || progress.recorded {
+	if len(re.segments) == 0 || progress.recorded || re.hedge.at.choice.Server.IsHost {
 		return
 	}
 	now := ga.clock.Now()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -29,6 +29,11 @@
 // begun if it is not the rest of the stream.
 func (ga *Gateway) relay(re *request, ch placement.Choice, ex *backend.Exchange, recordFirstEvent func(), headers platform.ResponseHeaders) result {
 	status := ex.Response.StatusCode
+	if ch.Server.IsHost {
+		if failed := ga.hostFailure(re, ch, ex, headers); failed != nil {
+			return *failed
+		}
+	}
 	switch {
 	case headers.Misdirected:
 		return result{outcome: placement.Misdirected, err: errors.Errorf("another server has address %s", ch.Server.Address)}
@@ -77,7 +82,7 @@
 		server: ch.Server.ID,
 	}
 	ex.Finish(headers.IdleTimeout)
-	if response.status >= http.StatusInternalServerError {
+	if response.status >= http.StatusInternalServerError && !ch.Server.IsHost {
 		re.lastFailure = response
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Errorf("the server answered with status %d", response.status)}
 	}
@@ -115,6 +120,7 @@
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
+	re.setHostResponse(ch.Server.ID)
 	re.rw.WriteHeader(ex.Response.StatusCode)
 	_, err := re.rw.Write(head)
 	if err == nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -53,6 +53,16 @@
 	demandRecorded bool
 	// tried lists the servers that are excluded from further attempts.
 	tried []mp.ServerID
+	// forwarded holds the headers of a request that another host has forwarded; nil for others.
+	forwarded *platform.HostRequest
+	// triedHosts lists the hosts that the request is not forwarded to again.
+	triedHosts []mp.ServerID
+	// hostRefusal is the refusal of another host that is passed on to the caller; nil if there is
+	// none.
+	hostRefusal *mp.Error
+	// originLeft reports that the host to which the request is forwarded looks for the origin of
+	// the stream.
+	originLeft bool
 	// lastFailure is the last signed 5xx response of a backend server.
 	lastFailure *bufferedResponse
 	// origin is the software version that began the stream with which the caller goes on; empty
@@ -111,10 +121,14 @@
 	return rq
 }
 
-// exclude excludes a server from further attempts.
-func (re *request) exclude(server mp.ServerID) {
-	if !slices.Contains(re.tried, server) {
-		re.tried = append(re.tried, server)
+// exclude excludes a server, or a host, from further attempts.
+func (re *request) exclude(server placement.Server) {
+	tried := &re.tried
+	if server.IsHost {
+		tried = &re.triedHosts
+	}
+	if !slices.Contains(*tried, server.ID) {
+		*tried = append(*tried, server.ID)
 	}
 }
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,6 +43,9 @@
 	MetricsAddress   string `json:"metrics"`
 	// LoadAddress is the UDP address for load updates. All hosts use the same port.
 	LoadAddress string `json:"loads"`
+	// ForwardAddress is the TCP address for requests that other hosts forward; empty to neither
+	// accept nor forward any. All hosts use the same port.
+	ForwardAddress string `json:"forwards,omitempty"`
 	// Seeds are gossip addresses of other hosts; some may be stale.
 	Seeds []string `json:"seeds"`
 	// StoreAddress is the address of the platform's store.
@@ -155,6 +158,9 @@
 		{"loads", se.LoadAddress},
 		{"store", se.StoreAddress},
 	}
+	if se.ForwardAddress != "" {
+		addresses = append(addresses, struct{ name, value string }{"forwards", se.ForwardAddress})
+	}
 	for _, ad := range addresses {
 		if _, err := netip.ParseAddrPort(ad.value); err != nil {
 			add(ad.name, ad.value, "an IP address with a port, such as 10.0.0.1:8080")
--- a/gateway/settings_test.go
+++ b/gateway/settings_test.go
@@ -30,6 +30,7 @@
 		{`{"host":"h","stop_time":"-1s"}`, `stop_time is "-1s"`},
 		{`{"host":"h","retry_ratio":3}`, `retry_ratio is "3"`},
 		{`{"host":"h","cold_overage":0.5}`, `cold_overage is "0.5"`},
+		{`{"host":"h","forwards":"x"}`, `forwards is "x"`},
 		{`{"host":"h","seeds":["x"]}`, `seeds[0] is "x"`},
 		{`{"host":"h","overflow":{"cost_per_byte":"-1us"}}`, `overflow.cost_per_byte is -1µs`},
 		{`{"host":"h","overflow":{"cost_per_ms":-1}}`, `overflow.cost_per_ms is -1`},
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -169,7 +169,7 @@
 	switch {
 	case !re.hasBegun():
 		return re.responseTimeout(ch)
-	case !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.EventGapTarget <= 0:
+	case ch.Server.IsHost || !re.repeatable() || re.attempts >= re.route.MaxAttempts || re.route.EventGapTarget <= 0:
 		return 0
 	}
 	return max(minStreamIdleTimeout, streamIdleGapFactor*re.route.EventGapTarget)
@@ -199,7 +199,7 @@
 	accepted, cause := st.acceptEvents(data)
 	if len(accepted) > 0 {
 		if re.stream == nil {
-			ga.beginStream(re, ex, st)
+			ga.beginStream(re, ch, ex, st)
 		}
 		st.recordRelayed(ga.clock.Now())
 		re.hedge.goOn()
@@ -251,12 +251,13 @@
 }
 
 // beginStream sets the stream state and writes the header of the backend server's response.
-func (ga *Gateway) beginStream(re *request, ex *backend.Exchange, st *streamState) {
+func (ga *Gateway) beginStream(re *request, ch placement.Choice, ex *backend.Exchange, st *streamState) {
 	re.stream = st
 	ga.recordOrigin(re)
 	for name, values := range platform.StripHopByHop(ex.Response.Header) {
 		re.rw.Header()[name] = values
 	}
+	re.setHostResponse(ch.Server.ID)
 	re.status = ex.Response.StatusCode
 	re.rw.WriteHeader(re.status)
 }
@@ -301,6 +302,9 @@
 	if !re.hedge.acquire() {
 		return takenOver()
 	}
+	if failed := hostBrokeOff(re, ch, ex); failed != nil {
+		return *failed
+	}
 	ga.recordProgress(re, endsWithEvent(rest) && re.hasAnyEvent())
 	return ga.finishStream(re, ch, ex, rest, headers.IdleTimeout)
 }
@@ -323,7 +327,7 @@
 		return result{outcome: placement.Failed, mayHaveRun: true, err: errors.Annotate(io.ErrUnexpectedEOF, "the resumed stream ended without an event, or with something else")}
 	}
 	if re.stream == nil {
-		ga.beginStream(re, ex, st)
+		ga.beginStream(re, ch, ex, st)
 	}
 	if len(rest) > 0 {
 		if err := ga.writeAndFlush(re, rest); err != nil {
--- a/placement/server.go
+++ b/placement/server.go
@@ -37,6 +37,9 @@
 	Evacuated bool
 	// Distance is how far the server is from this host.
 	Distance Distance
+	// IsHost reports that it is no backend server but another host, to which a request is
+	// forwarded.
+	IsHost bool
 	// IsEngine reports whether the server is a model engine.
 	IsEngine bool
 	// ServesJitterSensitive reports whether the service gets jitter-sensitive
--- a/soak/host.go
+++ b/soak/host.go
@@ -38,6 +38,7 @@
 	metricsPort           = "6022"
 	loadPort              = "6023"
 	readinessPort         = "6024"
+	forwardPort           = "6025"
 )
 
 // host is a gateway host in a separate process, with one proxy between callers
@@ -86,7 +87,8 @@
 		Regions:       map[mp.DataCentreID]mp.RegionID{dataCentre: region},
 		CallerAddress: callerAddress, ReadinessAddress: net.JoinHostPort(ip, readinessPort), PeerAddress: net.JoinHostPort(ip, peerPort),
 		MetricsAddress: net.JoinHostPort(ip, metricsPort), LoadAddress: net.JoinHostPort(ip, loadPort), StoreAddress: storeProxy.Address(),
-		StopTimeout: mp.Duration(stopTimeout), MaxConfigDelay: mp.Duration(maxConfigDelay), MaxDrainDelay: mp.Duration(maxConfigDelay),
+		ForwardAddress: net.JoinHostPort(ip, forwardPort),
+		StopTimeout:    mp.Duration(stopTimeout), MaxConfigDelay: mp.Duration(maxConfigDelay), MaxDrainDelay: mp.Duration(maxConfigDelay),
 		RetryRatio: retryRatio, RetryWindow: mp.Duration(retryWindow), RetrySlack: retrySlack,
 	}
 	return ho, func() {
