--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -103,12 +104,19 @@
 	return other.settings
 }
 
-func (fx *fixture) start(opts ...gateway.Option) {
+func (fx *fixture) start(opts ...gateway.Option) { fx.startStoppable(opts...) }
+
+// startStoppable starts a gateway and returns a function that ends it at once, as the end of the
+// test does otherwise.
+func (fx *fixture) startStoppable(opts ...gateway.Option) func() {
+	fx.t.Helper()
 	ga, stop, err := gateway.New(fx.settings, append(opts, gateway.WithLogger(zerolog.New(fx.logs)))...)
 	require.NoError(fx.t, err)
+	stop = sync.OnceFunc(stop)
 	fx.t.Cleanup(stop)
 	fx.gateway = ga
 	fx.eventually(ga.Ready)
+	return stop
 }
 
 // configure publishes a new configuration and waits until it is in force.
