--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -166,7 +166,7 @@
 func (ga *Gateway) endAttempt(ctx context.Context, re *request, at *attempt, res result) {
 	at.close()
 	if at.choice.Server.IsHost {
-		ga.recordForward(at, res)
+		ga.recordForward(res)
 		return
 	}
 	if ctx.Err() != nil && res.outcome != placement.Succeeded {
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -37,11 +37,11 @@
 	hosts atomic.Pointer[[]peer.Address]
 }
 
-func newForwardPlay(t *testing.T, app, engines []*fakeserver.Server) *forwardPlay {
+func newForwardPlay(t *testing.T, app []*fakeserver.Server) *forwardPlay {
 	t.Helper()
 	fp := &forwardPlay{}
 	change := func(se *gateway.Settings) { se.ForwardAddress = forwardAddressOf(se.PeerAddress) }
-	fp.fixture = newFixtureWith(t, change, app, engines, gateway.WithForwardPeers(fp.forwardPeers))
+	fp.fixture = newFixtureWith(t, change, app, nil, gateway.WithForwardPeers(fp.forwardPeers))
 	return fp
 }
 
@@ -72,9 +72,9 @@
 }
 
 // startPartitioned is newForwardPlay with one other host, to which requests are forwarded.
-func startPartitioned(t *testing.T, app, engines []*fakeserver.Server) (*forwardPlay, *fixture) {
+func startPartitioned(t *testing.T, app ...*fakeserver.Server) (*forwardPlay, *fixture) {
 	t.Helper()
-	fp := newForwardPlay(t, app, engines)
+	fp := newForwardPlay(t, app)
 	other, _ := fp.startHost()
 	fp.partition(other.settings.PeerAddress)
 	return fp, other
@@ -116,7 +116,7 @@
 
 func TestPartitionedHostServesThroughAnotherHost(t *testing.T) {
 	app := startServer(t, respondWith("quote 7"))
-	fp, other := startPartitioned(t, []*fakeserver.Server{app}, nil)
+	fp, other := startPartitioned(t, app)
 	got := fp.post(idempotentPath+"a%2Fb?x=1&y=%20", "r-1", "body", "Model: m")
 	require.Equal(t, http.StatusOK, got.status, got.body)
 	require.Equal(t, "quote 7", got.body)
@@ -151,7 +151,7 @@
 // hosts because the connection to the first broke off.
 func TestForwardedRequestThatMayHaveRunIsNotSentTwice(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost()
 	broken, requests := startFakeHost(t, breakOff)
 	fp.partition(broken, other.settings.PeerAddress)
@@ -166,7 +166,7 @@
 // host has ended since it said that it accepts them.
 func TestUnreachableHostIsPassedOver(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost()
 	fp.partition(loopback.Address(), other.settings.PeerAddress)
 	require.Equal(t, http.StatusOK, fp.post(nonIdempotentPath, "r-1", "order").status)
@@ -174,7 +174,7 @@
 }
 
 func TestRefusalOfOtherHostsIsPassedOnAfterThree(t *testing.T) {
-	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))})
 	var hosts []string
 	var counts []*atomic.Int64
 	for range 4 {
@@ -197,7 +197,7 @@
 		rw.Header().Set(platform.HeaderSignature, "s")
 		rw.WriteHeader(http.StatusInternalServerError)
 	}
-	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))})
 	for want, handler := range map[int]http.HandlerFunc{
 		http.StatusBadGateway:          refuseAs(http.StatusBadGateway, "backend_failed"),
 		http.StatusGatewayTimeout:      refuseAs(http.StatusGatewayTimeout, "outcome_unknown"),
@@ -216,7 +216,7 @@
 // host when none of them reaches a backend server.
 func TestPartitionedHostsDoNotForwardInCircles(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost(gateway.WithForwardPeers(func() []peer.Address { return []peer.Address{peer.Address(fp.settings.PeerAddress)} }))
 	fp.partition(other.settings.PeerAddress)
 	app.Crash()
@@ -247,15 +247,15 @@
 // TestListenerForHostsServesNoStrangers guards against clients that pass as a host.
 func TestListenerForHostsServesNoStrangers(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost()
 	hop := []string{"Forward-Attempts: 0", "Forward-Version: 1"}
-	_, err := sendAsHost(t, "127.0.0.1:1", other.settings.PeerAddress, hop...) //nolint:bodyclose // there is none
+	_, err := sendAsHost(t, "127.0.0.1:1", other.settings.PeerAddress, hop...)
 	require.Error(t, err)
 	require.Zero(t, requestCount(app))
 	fp.eventually(func() bool { return strings.Contains(fp.logs.Text(), `"reason":"stranger"`) })
 
-	got, err := sendAsHost(t, fp.settings.PeerAddress, other.settings.PeerAddress, hop...) //nolint:bodyclose // the connection is closed
+	got, err := sendAsHost(t, fp.settings.PeerAddress, other.settings.PeerAddress, hop...)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, got.StatusCode)
 	require.Equal(t, "1", got.Header.Get("Forward-Attempts"))
@@ -266,10 +266,10 @@
 // by a configuration which the host that admitted them has left.
 func TestHostWithOlderConfigurationRefusesForwardedRequest(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost()
 	for header, status := range map[string]int{"Forward-Version: 99": http.StatusServiceUnavailable, "Forward-Version: x": http.StatusBadRequest} {
-		got, err := sendAsHost(t, fp.settings.PeerAddress, other.settings.PeerAddress, "Forward-Attempts: 0", header) //nolint:bodyclose // the connection is closed
+		got, err := sendAsHost(t, fp.settings.PeerAddress, other.settings.PeerAddress, "Forward-Attempts: 0", header)
 		require.NoError(t, err)
 		require.Equal(t, status, got.StatusCode)
 		require.Equal(t, "1", got.Header.Get("Not-Executed"))
@@ -281,7 +281,7 @@
 // attempts, or have streams joined from two versions.
 func TestCallersCannotSetTheHeadersBetweenHosts(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp, _ := startPartitioned(t, []*fakeserver.Server{app}, nil)
+	fp, _ := startPartitioned(t, app)
 	fakes := []string{"Forward-Attempts: 900", "Forward-Version: 99", "Forward-Software: v9", "Forward-Repeat: 1", "Forward-Kind: overloaded", "Not-Executed: 1"}
 	require.Equal(t, http.StatusOK, fp.get("r-1", fakes...).status)
 	require.Equal(t, 0.0, fp.logs.RequestEvents("r-1")["forward_received"]["attempts"])
@@ -302,7 +302,7 @@
 		close(ended)
 		return false
 	})
-	fp, _ := startPartitioned(t, []*fakeserver.Server{app}, nil)
+	fp, _ := startPartitioned(t, app)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-started
@@ -319,7 +319,7 @@
 // TestLongBodiesAreForwardedWhole sends bodies with a length and in chunks.
 func TestLongBodiesAreForwardedWhole(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp, other := startPartitioned(t, []*fakeserver.Server{app}, nil)
+	fp, other := startPartitioned(t, app)
 	fp.allowUploads()
 	fp.eventually(func() bool { return int(other.gateway.ConfigVersion()) == fp.version })
 	upload := strings.Repeat("u", 3<<20)
@@ -349,7 +349,7 @@
 		co.Respond(rq, http.StatusOK, "ok")
 		return true
 	})
-	fp, stopping := startPartitioned(t, []*fakeserver.Server{app}, nil)
+	fp, stopping := startPartitioned(t, app)
 	other, _ := fp.startHost()
 	underWay := make(chan clientResponse, 1)
 	go func() { underWay <- fp.post(nonIdempotentPath, "r-1", "order") }()
@@ -367,7 +367,7 @@
 // versions, and returns a function that ends the first of the others.
 func startForwardedSoftware(t *testing.T, handler func(software string) fakeserver.Handler, versions ...string) (*forwardPlay, [2]*fixture, func()) {
 	t.Helper()
-	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{startServer(t, respondWith("ok"))})
 	fp.addSoftware(handler, versions...)
 	fp.setResumableRoute("max_attempts", 2)
 	first, stop := fp.startHost()
@@ -466,7 +466,7 @@
 // came before the host knew that it is partitioned.
 func TestPartitionTurnsAttemptsToAnotherHost(t *testing.T) {
 	app := startServer(t, respondWith("ok"))
-	fp := newForwardPlay(t, []*fakeserver.Server{app}, nil)
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
 	other, _ := fp.startHost()
 	var cut atomic.Bool
 	app.SetHandler(func(co *fakeserver.Conn, rq fakeserver.Request) bool {
@@ -483,3 +483,36 @@
 	require.Equal(t, 1.0, fp.logs.RequestEvents("r-1")["forward_received"]["attempts"])
 	require.Equal(t, true, fp.logs.RequestEvents("r-1")["forward_received"]["may_have_run"])
 }
+
+// TestSilentServerIsLeftForAnotherHost guards against streams that are cut because connections to
+// servers hang while the host is partitioned.
+func TestSilentServerIsLeftForAnotherHost(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	fp, hosts, _ := startForwardedSoftware(t, func(string) fakeserver.Handler {
+		return func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+			co.BeginStream(rq)
+			if rq.LastEventID() == 0 {
+				co.WriteChunk(events(1, 2))
+				begun <- struct{}{}
+				co.AwaitClose()
+				return false
+			}
+			co.WriteChunk(events(rq.LastEventID()+1, 4))
+			co.EndStream()
+			return true
+		}
+	}, oldSoftware, oldSoftware)
+	fp.setResumableRoute("gap_aim_ms", 100)
+	fp.partition()
+	go func() {
+		<-begun
+		fp.partition(hosts[0].settings.PeerAddress)
+	}()
+	got := fp.post(resumablePath, "r-1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, events(1, 4), got.body)
+	received := fp.logs.RequestEvents("r-1")["forward_received"]
+	require.Equal(t, 1.0, received["attempts"])
+	require.Equal(t, true, received["may_have_run"])
+	require.Equal(t, oldSoftware, received["software"])
+}
--- a/gateway/forwardhop.go
+++ b/gateway/forwardhop.go
@@ -98,7 +98,7 @@
 }
 
 // recordForward counts how an attempt at another host ended.
-func (ga *Gateway) recordForward(at *attempt, res result) {
+func (ga *Gateway) recordForward(res result) {
 	outcome := "failed"
 	switch res.outcome {
 	case placement.Succeeded:
@@ -126,7 +126,7 @@
 		Int("attempts", re.attempts).Int("most_attempts", re.route.MaxAttempts).Int("hosts_tried", len(re.triedHosts)).
 		Bool("refused", res.refusal != nil).Bool("reached", res.mayHaveRun).Str("cause", res.err.Error()).
 		Str("outcome", outcome).Dur("took_ms", ga.clock.Since(re.arrived)).Msg("another host didn't serve the request")
-	if reason != nil && !(reason.Kind.Response().NotRun && re.mayHaveRun) {
+	if reason != nil && (!reason.Kind.Response().NotRun || !re.mayHaveRun) {
 		re.hostRefusal = reason
 	}
 	return reason
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -288,9 +288,9 @@
 	ga, re := he.ga, he.re
 	ctx, cancel := context.WithCancel(he.ctx)
 	at := &attempt{choice: ch, startedAt: ga.clock.Now(), maxIdle: re.maxIdle(), cancel: cancel}
+	re.mayHaveRun = true // also at the silent server
 	rq := re.backendRequest(ch, at.startedAt)
 	re.attempts++
-	re.mayHaveRun = true // also at the silent server
 	he.state.AddBackup(at)
 	he.mu.Unlock()
 	res := ga.connect(ctx, re, at)
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -53,6 +53,7 @@
 	if configured.MaxHeaderBytes > 0 {
 		configured.MaxHeaderBytes += forwardHeaderBytes
 	}
+	configured.IdleTimeout = 0 // other hosts close idle connections before the default time
 	li.hosts.Configure(configured)
 }
 
