merge forwarding

Change: the parts that detect a partition and that forward requests, built apart, work together. The detector takes the place of the forwarding part's stand-in, which stays as an option for its tests. A dial to another host isn't counted as one to a server.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,16 +39,22 @@
 // Gateway is one entry host: a reverse proxy that routes callers' requests to backend
 // servers.
 type Gateway struct {
-	settings     Settings
-	clock        clockwork.Clock
-	logger       zerolog.Logger
-	view         *follow.View
-	follower     *follow.Follower
-	backends     *backend.Pool
-	inspector    *inspector
-	partition    *partitionMonitor
-	counters     *counters
-	droppedLines func() int64 // number of dropped log lines
+	settings Settings
+	clock    clockwork.Clock
+	logger   zerolog.Logger
+	view     *follow.View
+	follower *follow.Follower
+	backends *backend.Pool
+	// forwards is for connections to other hosts; nil if the settings have no address for
+	// forwarded requests.
+	forwards    *backend.Pool
+	forwardPort string // of all hosts
+	// forwardPeersFunc takes the place of partition and forwardTable; nil unless set.
+	forwardPeersFunc func() []peer.Address
+	inspector        *inspector
+	partition        *partitionMonitor
+	counters         *counters
+	droppedLines     func() int64 // number of dropped log lines
 
 	placerMu  sync.Mutex
 	placer    *placement.Placer
@@ -67,8 +73,8 @@
 	peers      *peer.Node
 	peerDialer peer.Option
 
-	forwardsMu sync.Mutex
-	forwards   *peer.ForwardTable
+	forwardTableMu sync.Mutex
+	forwardTable   *peer.ForwardTable
 
 	exceedingLogged map[exceedingKey]time.Time // used by the maintenance goroutine only
 
@@ -129,6 +135,7 @@
 	// the maintenance goroutine uses it.
 	refusedSpeeds  map[mp.ServiceName]int64
 	callerServer   *httpserver.Server
+	forwardServer  *httpserver.Server // nil without an address for forwarded requests
 	limiters       *limiters
 	cleanups       []func()
 	listenerErrors chan error
@@ -220,6 +227,9 @@
 	backends, closeBackends := backend.New(backend.WithClock(ga.clock), backend.WithBuffers(ga.buffers))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
+	if err := ga.openForwards(); err != nil {
+		return errors.Trace(err)
+	}
 	inspector, stopInspector := newInspector(ga.clock, ga.logger, backends, ga.recordCrash)
 	ga.inspector = inspector
 	ga.addCleanup(stopInspector)
@@ -235,7 +245,7 @@
 	ga.follower = follower
 	ga.addCleanup(stopFollower)
 	self := peer.Member{Address: peer.Address(ga.settings.PeerAddress), DataCentre: ga.settings.DataCentre}
-	ga.forwards = peer.NewForwardTable(self, newRandom())
+	ga.forwardTable = peer.NewForwardTable(self, newRandom())
 	peers, stopPeers, err := peer.New(self, peerAddresses(ga.settings.Seeds), ga,
 		peer.WithClock(ga.clock), peer.WithLogger(ga.logger), ga.peerDialer, peer.WithOnDial(ga.overflow.observeRoundTrip))
 	if err != nil {
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -54,9 +54,15 @@
 	if !re.resumesStream() {
 		return nil
 	}
-	software, source := ga.searchOrigin(ctx, peer.OriginRequest{
-		Stream: re.headers.Resumes, Service: re.service, MaxAge: mp.Duration(re.maxStreamAge()),
-	})
+	if re.forwarded != nil && re.forwarded.Software != "" {
+		re.origin = re.forwarded.Software
+		return nil
+	}
+	software, source := ga.searchOrigin(ctx, re)
+	if source == originLeft {
+		re.originLeft = true
+		return nil
+	}
 	ga.counters.countOrigin(string(source))
 	re.log(ga.logger.Info(), "stream_resumed").Str("stream", string(re.headers.Resumes)).Str("resume_after", re.headers.LastEventID).
 		Str("service", string(re.service)).Str("software", string(software)).Str("source", string(source)).
@@ -72,18 +78,25 @@
 // originSource names who knew the origin of a stream.
 type originSource string
 
-// The sources of origins: this host, another one, or nobody.
+// The sources of origins: this host, another one, or nobody. The search may also be left to the
+// host to which the request is forwarded.
 const (
 	originHost    originSource = "host"
 	originPeer    originSource = "peer"
 	originUnknown originSource = "unknown"
+	originLeft    originSource = "left"
 )
 
-// searchOrigin finds out at which software version a stream began, from this host or others.
-func (ga *Gateway) searchOrigin(ctx context.Context, rq peer.OriginRequest) (mp.SoftwareVersion, originSource) {
+// searchOrigin finds out at which software version the stream began with which a request goes on,
+// from this host or others.
+func (ga *Gateway) searchOrigin(ctx context.Context, re *request) (mp.SoftwareVersion, originSource) {
+	rq := peer.OriginRequest{Stream: re.headers.Resumes, Service: re.service, MaxAge: mp.Duration(re.maxStreamAge())}
 	if software, ok := ga.knownOrigin(ctx, rq); ok {
 		return software, originHost
 	}
+	if ga.canForward(re) {
+		return "", originLeft
+	}
 	if software, ok := ga.peers.AskOrigin(ctx, rq); ok {
 		return software, originPeer
 	}
--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -136,9 +136,12 @@
 	pm.change(now, func() partition.Change { return pm.detector.SetServers(now, servers) })
 }
 
-// recordDial records how the dial of an attempt ended. A failure counts unless the request
-// ended soon after the dial began.
+// recordDial records how the dial of an attempt ended, unless it was to another host. A failure
+// counts unless the request ended soon after the dial began.
 func (pm *partitionMonitor) recordDial(ctx context.Context, at *attempt, err error) {
+	if at.choice.Server.IsHost {
+		return
+	}
 	now := pm.clock.Now()
 	if err != nil && ctx.Err() != nil && now.Sub(at.startedAt) < minHungDial {
 		return
@@ -203,8 +206,19 @@
 	line.Msg(message)
 }
 
+// WithForwardPeers sets a function that takes the place of the host's own search for partitions:
+// while it returns other hosts, this one is partitioned and forwards requests to them.
+func WithForwardPeers(forwardPeers func() []peer.Address) Option {
+	return func(ga *Gateway) { ga.forwardPeersFunc = forwardPeers }
+}
+
 // isPartitioned reports whether this host is partitioned from all backend servers.
-func (ga *Gateway) isPartitioned() bool { return ga.partition.partitioned.Load() }
+func (ga *Gateway) isPartitioned() bool {
+	if ga.forwardPeersFunc != nil {
+		return len(ga.forwardPeersFunc()) > 0
+	}
+	return ga.partition.partitioned.Load()
+}
 
 // acceptsForwards reports whether this host accepts requests that partitioned hosts forward.
 func (ga *Gateway) acceptsForwards() bool {
@@ -214,36 +228,39 @@
 // forwardPeers returns the hosts that accept forwards: those of this data centre first, then
 // those of the same region, and at random among these.
 func (ga *Gateway) forwardPeers() []peer.Address {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	return ga.forwards.Hosts(ga.clock.Now(), func(dc mp.DataCentreID) int { return int(ga.distance(dc)) })
+	if ga.forwardPeersFunc != nil {
+		return ga.forwardPeersFunc()
+	}
+	ga.forwardTableMu.Lock()
+	defer ga.forwardTableMu.Unlock()
+	return ga.forwardTable.Hosts(ga.clock.Now(), func(dc mp.DataCentreID) int { return int(ga.distance(dc)) })
 }
 
 // listedForwards returns the hosts for an aggregate that accept forwards.
 func (ga *Gateway) listedForwards() []peer.Address {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	return ga.forwards.Listed(ga.clock.Now(), ga.acceptsForwards())
+	ga.forwardTableMu.Lock()
+	defer ga.forwardTableMu.Unlock()
+	return ga.forwardTable.Listed(ga.clock.Now(), ga.acceptsForwards())
 }
 
 // hearForwards records whether another host accepts forwards, from an exchange.
 func (ga *Gateway) hearForwards(remote peer.State) {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	ga.forwards.Add(ga.clock.Now(), remote.From, remote.Digest)
+	ga.forwardTableMu.Lock()
+	defer ga.forwardTableMu.Unlock()
+	ga.forwardTable.Add(ga.clock.Now(), remote.From, remote.Digest)
 }
 
 // hearForwardsUpdate records what a load update tells of hosts that accept forwards.
 func (ga *Gateway) hearForwardsUpdate(now time.Time, update peer.LoadUpdate) {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	ga.forwards.AddUpdate(now, update)
+	ga.forwardTableMu.Lock()
+	defer ga.forwardTableMu.Unlock()
+	ga.forwardTable.AddUpdate(now, update)
 }
 
 // setForwardsInterval sets the interval of load updates, and drops hosts without a recent one.
 func (ga *Gateway) setForwardsInterval(interval time.Duration) {
-	ga.forwardsMu.Lock()
-	defer ga.forwardsMu.Unlock()
-	ga.forwards.SetUpdateInterval(interval)
-	ga.forwards.Expire(ga.clock.Now())
+	ga.forwardTableMu.Lock()
+	defer ga.forwardTableMu.Unlock()
+	ga.forwardTable.SetUpdateInterval(interval)
+	ga.forwardTable.Expire(ga.clock.Now())
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -43,8 +43,8 @@
 	MetricsAddress   string `json:"metrics"`
 	// LoadAddress is the UDP address for load updates. All hosts use the same port.
 	LoadAddress string `json:"loads"`
-	// ForwardAddress is the TCP address to listen on for requests that partitioned hosts
-	// forward; empty if this host forwards none and accepts none. All hosts use the same port.
+	// ForwardAddress is the TCP address for requests that other hosts forward; empty to neither
+	// accept nor forward any. All hosts use the same port.
 	ForwardAddress string `json:"forwards,omitempty"`
 	// Seeds are gossip addresses of other hosts; some may be stale.
 	Seeds []string `json:"seeds"`
@@ -158,6 +158,9 @@
 		{"loads", se.LoadAddress},
 		{"store", se.StoreAddress},
 	}
+	if se.ForwardAddress != "" {
+		addresses = append(addresses, struct{ name, value string }{"forwards", se.ForwardAddress})
+	}
 	for _, ad := range addresses {
 		if _, err := netip.ParseAddrPort(ad.value); err != nil {
 			add(ad.name, ad.value, "an IP address with a port, such as 10.0.0.1:8080")
