gateway, follow, origin: what a review of the read before "the only version" found

Costs of the read: a question of another host holds one of 32 connections while it waits, so a host with the record didn't answer (60 take-ups at a neighbour); a list of several pages never counted as read where the watch was ahead of its first page; the read waited for the configuration too; a host that has just started doesn't know how many others read; streams were told oldest first, of two minutes.

Change: the history begins anew after a copy, from when the servers that it lacks have registered again. A gap counts on either clock, since one stands still in a suspended machine. Records are told at once, and at most 8 questions wait. A list that is older than the host's counts as read if the host has heard of all its servers. Fresh streams are told first. The method has a new name, so that hosts of an earlier release aren't believed; they are still answered. The read may take 0.4 s: far hosts need it for several pages.

Tests: CopyOfTheStore and QuestionsThatWait fail on; those of follow and origin are of what the review's own tests showed there.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -63,9 +63,9 @@
 	return se == other || se.Equal(other) && se.ColdRemaining <= 0 && other.ColdRemaining <= 0
 }
 
-// reregisterTimeout is how long after an outage of the store a server whose entry
+// ReregisterTimeout is how long after an outage of the store a server whose entry
 // expired in the meantime is retained, so that it can register again.
-const reregisterTimeout = 2200 * time.Millisecond
+const ReregisterTimeout = 2200 * time.Millisecond
 
 // outageThreshold is the age of the list above which entries may have expired
 // because the store was unavailable, if a call to it has failed in the meantime. A list
@@ -199,7 +199,7 @@
 	if !di.position.IsZero() && era != di.position.Era {
 		di.storeReturnedAt = now
 		for id := range di.retainedUntil {
-			di.retainedUntil[id] = now.Add(reregisterTimeout)
+			di.retainedUntil[id] = now.Add(ReregisterTimeout)
 		}
 		return
 	}
@@ -211,11 +211,11 @@
 // retain reports whether a server whose entry disappeared is retained for now, and
 // records until when: the entry may have expired because the store was unavailable.
 func (di *Directory) retain(now time.Time, se Server) bool {
-	if se.State != Ready || di.storeReturnedAt.IsZero() || now.Sub(di.storeReturnedAt) >= reregisterTimeout {
+	if se.State != Ready || di.storeReturnedAt.IsZero() || now.Sub(di.storeReturnedAt) >= ReregisterTimeout {
 		return false
 	}
 	if _, ok := di.retainedUntil[se.ID]; !ok {
-		di.retainedUntil[se.ID] = di.storeReturnedAt.Add(reregisterTimeout)
+		di.retainedUntil[se.ID] = di.storeReturnedAt.Add(ReregisterTimeout)
 	}
 	return true
 }
@@ -256,6 +256,14 @@
 
 func compareIDs(one, other Server) int { return strings.Compare(string(one.ID), string(other.ID)) }
 
+// Knows reports whether this host has heard of each server of a list, also if it has left since.
+func (di *Directory) Knows(servers []Server) bool {
+	return !slices.ContainsFunc(servers, func(se Server) bool {
+		le, ok := di.lastEntries[se.ID]
+		return se.State != Removed && (!ok || le.server.StartedAtMillis < se.StartedAtMillis)
+	})
+}
+
 // Servers returns the servers to use, ordered by identifier. The caller must not modify the
 // slice; the directory replaces it on a change.
 func (di *Directory) Servers() []Server { return di.servers }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -318,7 +318,6 @@
 	failures := 0
 	for ctx.Err() == nil {
 		position, err := fo.listOnce(ctx, configPosition)
-		fo.announceList()
 		configPosition = position
 		if errors.Is(err, platform.ErrRestored) {
 			// The store answers, but was restored between two calls.
@@ -374,9 +373,11 @@
 	requestedAt := fo.clock.Now()
 	servers, err := fo.store.List(ctx, platform.ServersPrefix)
 	if err != nil {
+		fo.announceList()
 		return configPosition, errors.Trace(err)
 	}
 	fo.submit(func(st *state) bool { return st.replaceServers(requestedAt, servers) })
+	fo.announceList()
 	if configPosition.Before(servers.Position) {
 		page, err := fo.store.List(ctx, platform.OperatorPrefix)
 		if err != nil {
--- a/follow/state.go
+++ b/follow/state.go
@@ -48,6 +48,7 @@
 	// listGapEndedAt is when a longer gap last ended.
 	maxListGap      time.Duration
 	listConfirmedAt time.Time
+	listEra         mp.Era // at that confirmation
 	listGapEndedAt  time.Time
 	// packed are the listed servers, for other hosts.
 	packed *packedServers
@@ -163,10 +164,13 @@
 // replaceServers applies a full list that was read from the store and reports
 // whether the servers changed.
 func (st *state) replaceServers(now time.Time, page platform.Page) bool {
-	if !page.Position.Before(st.directory.Position()) {
+	servers := st.decodeServers(page.Items)
+	changed := st.replace(now, page.Position, servers, SourceStore)
+	// A watch may be ahead of the first page of a long list.
+	if page.Position.Era == st.directory.Position().Era && st.directory.Knows(servers) {
 		st.listReadAt = now
 	}
-	return st.replace(now, page.Position, st.decodeServers(page.Items), SourceStore)
+	return changed
 }
 
 // applyServerChanges applies incremental changes from a watch of the store and
@@ -293,11 +297,21 @@
 		Uint64("era", uint64(position.Era)).Uint64("revision", uint64(position.Revision)).Str("source", string(source)).Msg("backend server list changed")
 }
 
-// recordListGap records the end of a gap between two confirmations of the list.
+// recordListGap records until when servers may have come and gone unnoticed: until the end of a gap
+// between two confirmations of the list, which either clock may show, because the monotonic one
+// stands still while the machine is suspended; and, after the store has come back from a copy,
+// until the servers that the copy lacks have registered again.
 func (st *state) recordListGap() {
-	before := st.listConfirmedAt
-	st.listConfirmedAt = st.directory.ConfirmedAt()
-	if !before.IsZero() && st.listConfirmedAt.Sub(before) > st.maxListGap {
+	before, era := st.listConfirmedAt, st.listEra
+	st.listConfirmedAt, st.listEra = st.directory.ConfirmedAt(), st.directory.Position().Era
+	if before.IsZero() {
+		return
+	}
+	gap := max(st.listConfirmedAt.Sub(before), st.listConfirmedAt.Round(0).Sub(before.Round(0)))
+	switch {
+	case era != st.listEra:
+		st.listGapEndedAt = st.listConfirmedAt.Add(directory.ReregisterTimeout)
+	case gap > st.maxListGap && st.listGapEndedAt.Before(st.listConfirmedAt):
 		st.listGapEndedAt = st.listConfirmedAt
 	}
 }
--- a/follow/sync.go
+++ b/follow/sync.go
@@ -20,8 +20,11 @@
 		if !fo.view.Load().ListReadAt.Before(calledAt) {
 			return nil
 		}
-		if err := wait(ctx, fo.clock.After(fo.untilSync())); err != nil {
-			return errors.Trace(err)
+		if left := fo.untilSync(); left > 0 {
+			if err := wait(ctx, fo.clock.After(left)); err != nil {
+				return errors.Trace(err)
+			}
+			continue
 		}
 		fo.Refresh()
 		if err := wait(ctx, listed); err != nil {
--- a/follow/sync_test.go
+++ b/follow/sync_test.go
@@ -12,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/directory"
 	"github.com/mangopaddle/mangopaddle/follow"
+	"github.com/mangopaddle/mangopaddle/platform"
 )
 
 // startFollower starts a follower that reads the list rarely, and waits for its first list.
@@ -80,3 +82,43 @@
 	confirm(time.Second)
 	require.Equal(t, endedAt, view.Load().ListGapEndedAt)
 }
+
+// TestSyncDoesNotWaitForTheConfiguration guards against a list that counts as read only once the
+// configuration is, which may be large.
+func TestSyncDoesNotWaitForTheConfiguration(t *testing.T) {
+	store := newStubStore()
+	fo, _ := startFollower(t, store)
+	store.put("servers/b", entry)
+	store.failPrefix(platform.OperatorPrefix, errors.New("down"))
+	require.NoError(t, fo.Sync(t.Context()))
+}
+
+// TestSyncAcceptsAListThatTheWatchIsAheadOf guards against a long list that never counts as read,
+// because changes arrive while its pages are.
+func TestSyncAcceptsAListThatTheWatchIsAheadOf(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := newStubStore()
+	fo, view := startFollower(t, store, follow.WithClock(clock), follow.WithSyncInterval(func() time.Duration { return 0 }))
+	known := view.Load()
+	clock.Advance(time.Millisecond)
+	fo.MergeServers(clock.Now(), later(known, 9), known.Servers)
+	clock.Advance(time.Millisecond)
+	require.NoError(t, fo.Sync(t.Context()))
+
+	clock.Advance(time.Millisecond)
+	store.put("servers/c", entry)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.Error(t, fo.Sync(ctx), "the list has a server of which the host hasn't heard")
+}
+
+// TestCopyOfTheStoreIsNoCompleteList guards against a copy that is taken to list all servers,
+// although those that it lacks haven't registered again.
+func TestCopyOfTheStoreIsNoCompleteList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	fo, view := startFollower(t, newStubStore(), follow.WithClock(clock))
+	known := view.Load()
+	clock.Advance(time.Millisecond)
+	fo.MergeServers(clock.Now(), mp.Position{Era: known.ListPosition.Era + 1, Revision: 1}, known.Servers)
+	require.Equal(t, clock.Now().Add(directory.ReregisterTimeout), view.Load().ListGapEndedAt)
+}
--- a/follow/view.go
+++ b/follow/view.go
@@ -44,8 +44,9 @@
 	// ListReadAt is when this host last asked the store for the whole list; zero for never.
 	// All servers that were listed by then are in the list, or have left it since.
 	ListReadAt time.Time
-	// ListGapEndedAt is when the list was confirmed again after it had not been for the longest
-	// gap; zero for never. Servers may have come and gone meanwhile.
+	// ListGapEndedAt is the time before which servers may have come and gone unnoticed: the list
+	// wasn't confirmed for the longest gap, or the store has come back from a copy. It is zero
+	// for never, and may be ahead.
 	ListGapEndedAt time.Time
 	// ConfigurationConfirmedAt is the same for the configuration.
 	ConfigurationConfirmedAt time.Time
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -8,7 +8,7 @@
 // observeHosts records the number of live hosts of this data centre, by which the retry
 // slack is divided. While the host is starting it knows too few of them.
 func (ga *Gateway) observeHosts(local int) {
-	if ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod {
+	if ga.isStarting() {
 		return
 	}
 	ga.budgetMu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,8 @@
 	// origins and softwareHistory tell at which software version streams began.
 	origins         *origin.Table
 	softwareHistory *origin.History
+	// originWaits has room for the questions of other hosts that wait for a read of the list.
+	originWaits chan struct{}
 	// callerWaits are how long callers of each service are taken to wait for a stream.
 	callerWaits map[mp.ServiceName]time.Duration
 
@@ -172,6 +174,7 @@
 		origins:         origin.NewTable(),
 		softwareHistory: origin.NewHistory(),
 		callerWaits:     map[mp.ServiceName]time.Duration{},
+		originWaits:     make(chan struct{}, maxOriginWaits),
 		quarantine:      quarantine.New(),
 		durations:       newDurations(),
 		buffers:         backend.NewBuffers(settings.bufferLimit()),
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -19,10 +19,16 @@
 	maxCallerWait    = 2 * time.Minute
 	// originSyncTimeout bounds the read of the list of servers by which a host makes sure that
 	// it knows all software versions of a service.
-	originSyncTimeout = 200 * time.Millisecond
+	originSyncTimeout = 400 * time.Millisecond
+	// maxOriginWaits is the number of other hosts' questions that wait for such a read at once;
+	// more are answered from the records alone.
+	maxOriginWaits = 8
 	// syncIntervalPerHost bounds the reads of the list of servers by which hosts judge where
 	// streams began: all hosts share the rate of the store.
 	syncIntervalPerHost = time.Millisecond
+	// startupSyncInterval is the shortest time between these reads while a host that has just
+	// started doesn't know how many others there are.
+	startupSyncInterval = time.Second
 	// minOriginRetryAfter is the least Retry-After of a request to resume a stream of unknown
 	// origin. Other hosts may know it.
 	minOriginRetryAfter = 300 * time.Millisecond
@@ -100,12 +106,20 @@
 	if _, ok := ga.soleSoftware(rq); !ok {
 		return "", false
 	}
-	if !ga.syncForOrigin(ctx, rq) && rq.Stream != "" {
+	switch {
+	case rq.Stream == "" && ga.isStarting():
+		// Its list is fresh, and all hosts may be starting.
+	case !ga.syncForOrigin(ctx, rq) && rq.Stream != "":
 		return "", false
 	}
 	return ga.soleSoftware(rq)
 }
 
+// isStarting reports whether this host has just started and may not have heard of the others yet.
+func (ga *Gateway) isStarting() bool {
+	return ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod
+}
+
 // syncForOrigin reads the list of servers and reports whether it could: until it is read after
 // the question, the stream may have begun at a server of which this host hasn't heard.
 func (ga *Gateway) syncForOrigin(ctx context.Context, rq peer.OriginRequest) bool {
@@ -144,6 +158,9 @@
 // syncInterval returns the shortest time between two reads of the list of servers by which this
 // host judges where streams began.
 func (ga *Gateway) syncInterval() time.Duration {
+	if ga.isStarting() {
+		return startupSyncInterval
+	}
 	return max(follow.MinSyncInterval, time.Duration(ga.peers.MemberCount())*syncIntervalPerHost)
 }
 
@@ -205,9 +222,19 @@
 	ga.softwareHistory.Observe(ga.clock.Now(), softwareOf(snapshot.Servers))
 }
 
-// Origin implements peer.Delegate.
+// Origin implements peer.Delegate. It answers from the records at once; few questions may wait
+// until the list of servers is read, because each of them takes a connection.
 func (ga *Gateway) Origin(ctx context.Context, rq peer.OriginRequest) peer.Origin {
-	software, _ := ga.knownOrigin(ctx, rq)
+	software, ok := ga.recordedOrigin(rq)
+	if ok {
+		return peer.Origin{Software: software}
+	}
+	select {
+	case ga.originWaits <- struct{}{}:
+		defer func() { <-ga.originWaits }()
+		software, _ = ga.knownOrigin(ctx, rq)
+	default:
+	}
 	return peer.Origin{Software: software}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -217,7 +217,7 @@
 		order += ga.loadTable.DataCentreOrder(now)
 	}
 	ga.placerMu.Unlock()
-	if ga.hasOtherSeeds && ga.clock.Since(ga.startedAt) < startupGossipPeriod {
+	if ga.isStarting() {
 		return max(order, assumedReaderOrder)
 	}
 	return order
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -87,3 +88,36 @@
 	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
 	require.Zero(t, resumed.Load())
 }
+
+// TestCopyOfTheStoreDoesNotMakeAVersionTheOnlyOne guards against the same when the store has come
+// back from a copy that lacks the new server.
+func TestCopyOfTheStoreDoesNotMakeAVersionTheOnlyOne(t *testing.T) {
+	fx, resumed := startSole(t)
+	saved := fx.store.Snapshot()
+	fx.store.SetDropEvents(true)
+	fx.addSoftware(breakingEngine, newSoftware)
+	fx.store.Restore(saved)
+	got := fx.takeUp("again", "r-elsewhere")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
+	require.Zero(t, resumed.Load())
+}
+
+// TestQuestionsThatWaitForTheStoreLeaveRoomForOthers guards against a host that doesn't tell of a
+// stream of which it has a record, because questions after others take all its connections.
+func TestQuestionsThatWaitForTheStoreLeaveRoomForOthers(t *testing.T) {
+	fx, _ := startSole(t)
+	second := fx.startHost("dc-1")
+	require.Equal(t, oldSoftware, fx.begin("r-1"))
+	fx.store.SetErrorStatus(http.StatusServiceUnavailable)
+	var group sync.WaitGroup
+	const crowd = 60
+	for number := range crowd {
+		group.Go(func() { second.takeUp(fmt.Sprint("crowd-", number), fmt.Sprint("r-unknown-", number)) })
+	}
+	defer group.Wait()
+	time.Sleep(20 * time.Millisecond) // some of them wait
+	got := second.takeUp("again", "r-1")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status, "%q", got.body)
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -190,18 +190,19 @@
 	return report
 }
 
-// reportService adds streams of a service to a report and returns the length of their
-// identifiers.
+// reportService adds streams of a service to a report, the newest first, because callers resume
+// these, and returns the length of their identifiers.
 func (ta *Table) reportService(report Report, service mp.ServiceName, maxBytes int) int {
 	total := 0
 	untold := ta.untold[service]
 	for len(untold) > 0 {
-		stream := untold[0]
+		last := len(untold) - 1
+		stream := untold[last]
 		size := len(stream) + streamOverheadBytes
 		if total+size > maxBytes {
 			break
 		}
-		untold = untold[1:]
+		untold = untold[:last]
 		if re, ok := ta.records[stream]; ok && re.service == service {
 			report.Add(stream, service, re.software)
 			total += size
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -158,3 +158,21 @@
 	_, ok = hi.Sole(now.Add(time.Second), service, period)
 	require.True(t, ok)
 }
+
+// TestFreshStreamsAreToldFirst guards against hosts that hear of a stream too late, because those
+// that ended before anyone needed to know are told first.
+func TestFreshStreamsAreToldFirst(t *testing.T) {
+	const old, fresh, maxBytes = 5000, 40, 2 << 10
+	ta := origin.NewTable()
+	for number := range old {
+		ta.Begin(start, stream(number), service, "v1")
+	}
+	now := start.Add(time.Minute)
+	for number := range fresh {
+		ta.Begin(now, stream(old+number), service, "v1")
+	}
+	told := ta.Report(now, always, maxBytes)[service]["v1"]
+	for number := range fresh {
+		require.Contains(t, told, stream(old+number))
+	}
+}
--- a/peer/origin.go
+++ b/peer/origin.go
@@ -13,8 +13,12 @@
 )
 
 // MethodOrigin is the method by which a host asks at which software version a stream began: its
-// parameters are an OriginRequest and its result is an Origin.
-const MethodOrigin Method = "stream.origin"
+// parameters are an OriginRequest and its result is an Origin. Hosts of an earlier release answer
+// another method from lists that may be old, and don't know this one.
+const MethodOrigin Method = "stream.find_origin"
+
+// methodEarlierOrigin is the same method as hosts of an earlier release call it.
+const methodEarlierOrigin Method = "stream.origin"
 
 const (
 	// minOriginKeepers is about the least number of hosts of a data centre that keep the origin
@@ -25,7 +29,7 @@
 )
 
 // originTimeout bounds a question after the origin of a stream. A caller waits meanwhile.
-const originTimeout = 400 * time.Millisecond
+const originTimeout = 600 * time.Millisecond
 
 // OriginRequest asks at which software version of a service a stream began.
 type OriginRequest struct {
--- a/peer/server.go
+++ b/peer/server.go
@@ -59,7 +59,7 @@
 		no.handleExchange(ctx, conn, rq)
 	case rq.Method == string(MethodConfiguration) && rq.Params != nil:
 		no.handleTransfer(ctx, conn, rq)
-	case rq.Method == string(MethodOrigin) && rq.Params != nil:
+	case (rq.Method == string(MethodOrigin) || rq.Method == string(methodEarlierOrigin)) && rq.Params != nil:
 		no.handleOrigin(ctx, conn, rq)
 	default:
 		no.replyError(ctx, conn, rq, jsonrpc2.CodeMethodNotFound, "unknown method")
