--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -342,6 +343,7 @@
 // that they were forwarded to ends, and against those under way there that are.
 func TestDrainingHostRefusesForwardedRequests(t *testing.T) {
 	release := make(chan struct{})
+	finish := sync.OnceFunc(func() { close(release) })
 	app := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
 		if rq.ID == "r-1" {
 			<-release
@@ -350,6 +352,7 @@
 		return true
 	})
 	fp, stopping := startPartitioned(t, app)
+	t.Cleanup(finish)
 	other, _ := fp.startHost()
 	underWay := make(chan clientResponse, 1)
 	go func() { underWay <- fp.post(nonIdempotentPath, "r-1", "order") }()
@@ -358,7 +361,7 @@
 	fp.partition(stopping.settings.PeerAddress, other.settings.PeerAddress)
 	require.Equal(t, http.StatusOK, fp.post(nonIdempotentPath, "r-2", "order").status)
 	require.Equal(t, 2, fp.logs.Count("forwarded")-1, "r-2 at both hosts")
-	close(release)
+	finish()
 	require.Equal(t, http.StatusOK, (<-underWay).status)
 	require.NoError(t, wait())
 }
