--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -194,7 +194,7 @@
 // have run, after another host has made its attempts.
 func TestOutcomeOfOtherHostIsPassedOn(t *testing.T) {
 	signed := func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("Forward-Attempts", "2")
+		rw.Header().Set("Forward-Attempts", "1") // the other host's retry budget is spent
 		rw.Header().Set(platform.HeaderSignature, "s")
 		rw.WriteHeader(http.StatusInternalServerError)
 	}
@@ -462,7 +462,9 @@
 	got := fp.takeUp("again-unknown", "nobody's")
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
-	require.NotContains(t, fp.logs.RequestEvents("again-unknown"), "placed")
+	logged := fp.logs.RequestEvents("again-unknown")
+	require.Contains(t, logged, "forwarded")
+	require.NotContains(t, logged, "placed")
 }
 
 // TestPartitionTurnsAttemptsToAnotherHost guards against requests that are refused because they
