--- a/backend/pool.go
+++ b/backend/pool.go
@@ -46,6 +46,8 @@
 	clock   clockwork.Clock
 	dialer  net.Dialer
 	buffers *Buffers
+	// admit may refuse to open a connection to an address.
+	admit func(address string) error
 
 	mu        sync.Mutex
 	idle      map[string][]*Conn
@@ -73,9 +75,16 @@
 	return func(po *Pool) { po.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(address, 0)) }
 }
 
+// WithAdmit sets a function that may refuse to open a connection to an address, by an error. The
+// default refuses none.
+func WithAdmit(admit func(address string) error) Option {
+	return func(po *Pool) { po.admit = admit }
+}
+
 // New returns an empty pool and a function that closes its idle connections.
 func New(opts ...Option) (*Pool, func()) {
 	po := &Pool{clock: clockwork.NewRealClock(), idle: map[string][]*Conn{}, buffers: NewBuffers(defaultBufferLimit)}
+	po.admit = func(string) error { return nil }
 	po.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -84,7 +93,10 @@
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
-		Control: func(_, _ string, rc syscall.RawConn) error {
+		Control: func(_, address string, rc syscall.RawConn) error {
+			if err := po.admit(address); err != nil {
+				return errors.Trace(err)
+			}
 			return rc.Control(func(fd uintptr) {
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 			})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 
 	peers      *peer.Node
 	peerDialer peer.Option
+	admitDial  func(address string) error
 
 	forwardTableMu sync.Mutex
 	forwardTable   *peer.ForwardTable
@@ -167,6 +168,12 @@
 	return func(ga *Gateway) { ga.peerDialer = peer.WithDialer(dial) }
 }
 
+// WithAdmit sets a function that may refuse to open a connection to the address of a backend
+// server, by an error. The default refuses none.
+func WithAdmit(admit func(address string) error) Option {
+	return func(ga *Gateway) { ga.admitDial = admit }
+}
+
 // New starts a gateway. The returned function stops it immediately; for a graceful
 // shutdown, call Drain first. New returns an error if the settings are not valid or
 // a listener cannot be opened.
@@ -193,6 +200,7 @@
 		retryBudgets:    map[mp.ServiceName]*retry.WindowBudget{},
 		retrySlack:      retry.NewSharedSlack(settings.RetrySlack, len(settings.Regions)),
 		peerDialer:      func(*peer.Node) {},
+		admitDial:       func(string) error { return nil },
 		listenerErrors:  make(chan error, 4),
 		refusedSpeeds:   map[mp.ServiceName]int64{},
 	}
@@ -227,7 +235,7 @@
 		ga.overflow = newOverflowControl(ga.settings, newOverflowCounters(scope), ga.logger)
 	}
 	ga.limiters = newLimiters(ga.settings, ga.logger, scope)
-	backends, closeBackends := backend.New(backend.WithClock(ga.clock), backend.WithBuffers(ga.buffers))
+	backends, closeBackends := backend.New(backend.WithClock(ga.clock), backend.WithBuffers(ga.buffers), backend.WithAdmit(ga.admitDial))
 	ga.backends = backends
 	ga.addCleanup(closeBackends)
 	if err := ga.openForwards(); err != nil {
