--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -274,6 +274,7 @@
 		require.NoError(t, err)
 		require.Equal(t, status, got.StatusCode)
 		require.Equal(t, "1", got.Header.Get("Not-Executed"))
+		require.Equal(t, "r-hop", got.Header.Get("Request-Id"))
 	}
 	require.Zero(t, requestCount(app))
 }
@@ -521,3 +522,22 @@
 	require.Equal(t, true, received["may_have_run"])
 	require.Equal(t, oldSoftware, received["software"])
 }
+
+// TestServerThatSaysItLeavesToAnotherHostGetsNoMoreRequests guards against requests to a server
+// whose word that it leaves this host has passed on.
+func TestServerThatSaysItLeavesToAnotherHostGetsNoMoreRequests(t *testing.T) {
+	leaving := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.Respond(rq, http.StatusOK, "ok", "Server-Leaving: 1")
+		return true
+	})
+	fp, _ := startPartitioned(t, startServer(t, respondWith("ok")), leaving)
+	for number := 0; requestCount(leaving) == 0; number++ {
+		require.Less(t, number, 40)
+		require.Equal(t, http.StatusOK, fp.get(fmt.Sprint("r-", number)).status)
+	}
+	fp.partition()
+	for number := range 10 {
+		require.Equal(t, http.StatusOK, fp.get(fmt.Sprint("later-", number)).status)
+	}
+	require.Equal(t, 1, requestCount(leaving))
+}
--- a/gateway/forwardserve.go
+++ b/gateway/forwardserve.go
@@ -61,6 +61,7 @@
 	forwarded, err := platform.DecodeHostRequest(rq.Header)
 	re.forwarded, re.attempts = &forwarded, forwarded.Attempts
 	if err != nil {
+		re.headers, _ = platform.DecodeRequestHeaders(rq.Header) // the refusal only needs the identifier
 		ga.respondError(re, mp.NewError(mp.KindInvalidRequest, "forwarded request: %v", err))
 		return
 	}
