gateway: reproduction of brittle servers that hosts make fall over

Cause: hosts send to servers that say Server-Brittle as to all others, and learn that there is no room only by a rejection.

--- /dev/null
+++ b/gateway/brittle_test.go
@@ -0,0 +1,157 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mangopaddle/mangopaddle/gateway"
+	"github.com/mangopaddle/mangopaddle/platform/fakeserver"
+)
+
+const (
+	brittleServers     = 12
+	brittleSlots       = 4
+	brittleServiceTime = 300 * time.Millisecond
+	// brittleLimit is the number of rejections in a second that a server tolerates.
+	brittleLimit = 3
+	// contactTime is the time after which brittle servers let fewer requests wait.
+	contactTime = 4 * time.Second
+	// calmRatio and overloadRatio are the loads as multiples of the capacity of the servers.
+	calmRatio     = 0.5
+	overloadRatio = 1.6
+	// callerAttempts is how often a caller asks at most.
+	callerAttempts = 3
+)
+
+// brittleFleet is a deployment of several hosts with servers that may be brittle.
+type brittleFleet struct {
+	t            *testing.T
+	servers      []*fakeserver.Brittle
+	mu           sync.Mutex // guards hosts
+	hosts        []*fixture
+	group        sync.WaitGroup
+	sent, served atomic.Int64
+}
+
+func newBrittleFleet(t *testing.T, hosts int) *brittleFleet {
+	t.Helper()
+	bf := &brittleFleet{t: t}
+	var servers []*fakeserver.Server
+	for range brittleServers {
+		se, stop, err := fakeserver.NewBrittle(brittleSlots, 8, brittleServiceTime)
+		require.NoError(t, err)
+		t.Cleanup(stop)
+		bf.servers, servers = append(bf.servers, se), append(servers, se.Server())
+	}
+	first := newFixtureWith(t, func(se *gateway.Settings) { se.RetryRatio, se.RetrySlack = 0.2, 56 }, servers, nil)
+	for ix, se := range bf.servers {
+		put := func(starts int) {
+			first.store.PutServerWithSlots(fmt.Sprintf("app-%d", ix), "app", se.Server().Address(), brittleSlots, int64(starts))
+		}
+		put(1)
+		se.OnStart(put)
+	}
+	bf.hosts = append(bf.hosts, first)
+	for range hosts - 1 {
+		bf.startHost()
+	}
+	for _, fx := range bf.hosts {
+		fx.eventually(func() bool { return fx.gateway.AvailableServerCount("app") == brittleServers })
+	}
+	return bf
+}
+
+func (bf *brittleFleet) startHost() {
+	second := bf.hosts[0].startHost("dc-1")
+	bf.mu.Lock()
+	defer bf.mu.Unlock()
+	bf.hosts = append(bf.hosts, second)
+}
+
+func (bf *brittleFleet) host(number int) *fixture {
+	bf.mu.Lock()
+	defer bf.mu.Unlock()
+	return bf.hosts[number%len(bf.hosts)]
+}
+
+func (bf *brittleFleet) each(change func(*fakeserver.Brittle)) {
+	for _, se := range bf.servers {
+		change(se)
+	}
+}
+
+func (bf *brittleFleet) falls() int {
+	falls := 0
+	bf.each(func(se *fakeserver.Brittle) { falls += se.Falls() })
+	return falls
+}
+
+// offer offers a load for a time, and counts it.
+func (bf *brittleFleet) offer(ratio float64, duration time.Duration, counted bool) {
+	rate := ratio * brittleServers * brittleSlots / brittleServiceTime.Seconds()
+	interval := time.Duration(float64(time.Second) / rate)
+	next := time.Now()
+	for ix, end := 0, next.Add(duration); next.Before(end); ix, next = ix+1, next.Add(interval) {
+		time.Sleep(time.Until(next))
+		bf.group.Go(func() { bf.call(ix, counted) })
+	}
+}
+
+// call sends one caller's request, and again elsewhere after a refusal.
+func (bf *brittleFleet) call(number int, counted bool) {
+	if counted {
+		bf.sent.Add(1)
+	}
+	for attempt := range callerAttempts {
+		id := fmt.Sprintf("r-%d-%d", number, attempt)
+		response := bf.host(number+attempt).send(context.Background(), http.MethodGet, idempotentPath, id, "", "Deadline-Ms: 4000")
+		if response.status == http.StatusOK && counted {
+			bf.served.Add(1)
+		}
+		if response.status == http.StatusOK {
+			return
+		}
+		after, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+		if err == nil {
+			time.Sleep(time.Duration(min(after, 1) * float64(time.Second)))
+		}
+	}
+}
+
+// overload plays a time of overload in which one more host starts. It returns the fraction of
+// callers that were served. The servers are brittle if a limit is given.
+func (bf *brittleFleet) overload(brittle bool) float64 {
+	bf.offer(calmRatio, time.Second, false)
+	if brittle {
+		bf.each(func(se *fakeserver.Brittle) { se.SetBrittle(brittleLimit) })
+	}
+	bf.offer(calmRatio, contactTime, false)
+	if brittle {
+		bf.each(func(se *fakeserver.Brittle) { se.SetRoom(1) })
+	}
+	bf.offer(overloadRatio, 4*time.Second, true)
+	bf.startHost()
+	bf.offer(overloadRatio, 4*time.Second, true)
+	bf.group.Wait()
+	return float64(bf.served.Load()) / float64(bf.sent.Load())
+}
+
+// TestBrittleServersStayUp guards against hosts that together make brittle servers fall over, and
+// against refusals of what the servers could do.
+func TestBrittleServersStayUp(t *testing.T) {
+	sound := newBrittleFleet(t, 4)
+	servedSound := sound.overload(false)
+	brittle := newBrittleFleet(t, 4)
+	served := brittle.overload(true)
+	t.Logf("%d falls, %.2f of %d callers served, %.2f by sound servers", brittle.falls(), served, brittle.sent.Load(), servedSound)
+	require.LessOrEqual(t, brittle.falls(), 2+brittleServers/10)
+	require.GreaterOrEqual(t, served, 0.8*servedSound)
+}
