brittle, gateway: requests to brittle servers only on places known to be free

Cause: hosts tried places at brittle servers and made them reject. Change: each slot of a brittle server belongs to one host by rendezvous hashing over the data centres and hosts heard of lately; a host has at most as many requests outstanding there; others wait in line at the host by priority, or are refused. Hosts tell each other who is brittle.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,8 +41,8 @@
 
 // selectServer chooses the backend server for the next attempt, and records and logs the
 // start of the attempt. It returns an error if there is none, as chooseServer does.
-func (ga *Gateway) selectServer(re *request) (placement.Choice, *mp.Error) {
-	ch, refusal := ga.chooseServer(re, ga.placementRequest(re), re.mayHaveRun)
+func (ga *Gateway) selectServer(ctx context.Context, re *request) (placement.Choice, *mp.Error) {
+	ch, refusal := ga.chooseInTurn(ctx, re)
 	if refusal == nil {
 		ga.logPlacement(re, ch)
 	}
@@ -90,6 +90,10 @@
 		Dur("queue_wait_ms", ch.QueueWait).Dur("less_urgent_wait_ms", ch.LessUrgentWait).
 		Int64("version", int64(re.snapshot.Version())).Dur("list_age_ms", now.Sub(ga.view.Load().ListConfirmedAt)).
 		Dur("left_ms", re.remaining(now))
+	if ch.Brittle {
+		ga.counters.countBrittle("sent")
+		line = line.Bool("brittle", true)
+	}
 	if ch.Cold {
 		ga.counters.countCold("sent")
 		line = line.Bool("cold", true)
@@ -159,6 +163,7 @@
 	ga.placerMu.Lock()
 	ga.placer.RecordEnd(ga.clock.Now(), at.choice, at.firstEventSeen, res.outcome)
 	ga.placerMu.Unlock()
+	ga.recordPlaceEnd(at, res.outcome)
 	if res.outcome == placement.Succeeded && !at.choice.Server.IsEngine {
 		ga.overflow.recordServiceTime(at.choice.Server.Service, ga.clock.Since(at.sentAt))
 	}
--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -127,7 +127,7 @@
 }
 
 // overload plays a time of overload in which one more host starts. It returns the fraction of
-// callers that were served. The servers are brittle if a limit is given.
+// callers that were served in it. The servers are brittle if a limit is given.
 func (bf *brittleFleet) overload(brittle bool) float64 {
 	bf.offer(calmRatio, time.Second, false)
 	if brittle {
@@ -140,8 +140,9 @@
 	bf.offer(overloadRatio, 4*time.Second, true)
 	bf.startHost()
 	bf.offer(overloadRatio, 4*time.Second, true)
+	served := bf.served.Load() // without what is left in queues when the load ends
 	bf.group.Wait()
-	return float64(bf.served.Load()) / float64(bf.sent.Load())
+	return float64(served) / float64(bf.sent.Load())
 }
 
 // TestBrittleServersStayUp guards against hosts that together make brittle servers fall over, and
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -28,6 +28,7 @@
 	failedAttempts map[string]tally.Counter
 	notices        map[string]tally.Counter
 	cold           map[string]tally.Counter
+	brittle        map[string]tally.Counter
 	checkedEnds    map[string]tally.Counter
 	origins        map[string]tally.Counter
 	latency        map[routing.Kind]tally.Histogram
@@ -48,6 +49,7 @@
 		failedAttempts: map[string]tally.Counter{},
 		notices:        map[string]tally.Counter{},
 		cold:           map[string]tally.Counter{},
+		brittle:        map[string]tally.Counter{},
 		checkedEnds:    map[string]tally.Counter{},
 		origins:        map[string]tally.Counter{},
 		latency:        map[routing.Kind]tally.Histogram{},
@@ -124,6 +126,16 @@
 	}).Inc(1)
 }
 
+// countBrittle counts a request that was "sent" to a brittle server, "rejected" there, "refused"
+// for want of a free place or "waited" for one, and an "odd_header" of such a server.
+func (co *counters) countBrittle(outcome string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.brittle, outcome, "brittle_requests", func() map[string]string {
+		return map[string]string{"outcome": outcome}
+	}).Inc(1)
+}
+
 // countOverFairLevel counts a request that was refused only because its organisation is above
 // its fair level.
 func (co *counters) countOverFairLevel() {
@@ -169,6 +181,7 @@
 	scope.Gauge("requests_in_flight").Update(float64(ga.inFlight.Load()))
 	scope.Gauge("data_centres_evacuated").Update(float64(len(snapshot.Evacuated)))
 	scope.Gauge("servers_cold").Update(float64(ga.coldCount()))
+	scope.Gauge("services_brittle").Update(float64(ga.brittleCount()))
 	for level, tokens := range ga.queuedTokens() {
 		scope.Tagged(map[string]string{"level": strconv.Itoa(level)}).Gauge("prefill_tokens").Update(float64(tokens))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/backend"
 	"github.com/mangopaddle/mangopaddle/background"
+	"github.com/mangopaddle/mangopaddle/brittle"
 	"github.com/mangopaddle/mangopaddle/coldstart"
 	"github.com/mangopaddle/mangopaddle/fairness"
 	"github.com/mangopaddle/mangopaddle/follow"
@@ -53,6 +54,9 @@
 	placer    *placement.Placer
 	loadTable *peer.LoadTable
 	cold      *coldstart.Tracker
+	// brittleTracker is guarded by placerMu, brittle is not.
+	brittleTracker *brittle.Tracker
+	brittle        brittleControl
 	// usesColdStart reports that the configuration states cold times or rates of servers.
 	usesColdStart bool
 	fairness      *fairness.Tracker
@@ -191,7 +195,9 @@
 	ga.sharesReads = follow.SharesReads(settings.maxDelay())
 	ga.hasOtherSeeds = len(settings.Seeds) > 0 && !slices.Contains(settings.Seeds, settings.PeerAddress)
 	ga.cold = newColdTracker(settings, ga.startedAt)
-	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad), placement.WithColdStart(ga.cold),
+	ga.brittleTracker = newBrittleTracker(settings, ga.startedAt)
+	ga.brittle.line = newPlaceLine()
+	ga.placer = placement.New(placement.WithPeerLoad(ga.peerLoad), placement.WithColdStart(ga.cold), placement.WithBrittle(ga.brittleTracker),
 		placement.WithLeavingGrace(settings.MaxDrainDelay.Std()/leavingGraceDivisor))
 	if err := ga.start(); err != nil {
 		ga.close()
@@ -235,7 +241,7 @@
 	ga.peers = peers
 	ga.addCleanup(stopPeers)
 	stopLoads, err := peer.NewLoadBroadcaster(ga.settings.Host, self, ga.settings.LoadAddress, peers, ga,
-		peer.WithBroadcasterClock(ga.clock), peer.WithBroadcasterLogger(ga.logger), ga.withDemands())
+		peer.WithBroadcasterClock(ga.clock), peer.WithBroadcasterLogger(ga.logger), ga.withDemands(), peer.WithBrittle(ga.brittleReports))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -186,7 +186,7 @@
 			ga.fail(ctx, re, err)
 			return
 		}
-		ch, err := ga.selectServer(re)
+		ch, err := ga.selectServer(ctx, re)
 		if err != nil {
 			ga.fail(ctx, re, err)
 			return
--- a/gateway/maintain.go
+++ b/gateway/maintain.go
@@ -24,6 +24,7 @@
 	ga.maintainedAt = now
 	ga.backends.Prune()
 	ga.expireCold()
+	ga.expireBrittle(now)
 	ga.updateGauges()
 	ga.observeFairness(now)
 }
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -19,6 +19,7 @@
 	if headers.ColdRemaining > 0 && matches && !headers.Misdirected {
 		ga.recordCold(ch.Server, headers.ColdRemaining)
 	}
+	ga.recordBrittle(re, ch.Server, headers, matches)
 	if headers.RetryAfter > 0 && matches {
 		ga.recordPause(re, ch.Server, headers.RetryAfter)
 	}
@@ -54,6 +55,10 @@
 	if delay := ga.returnDelay(re); delay > 0 {
 		return mp.NewError(mp.KindOverloaded, "all servers of service %q want a pause", re.service).WithRetryAfter(delay)
 	}
+	if places := ga.wantedPlaces(rq); places.Servers > 0 {
+		ahead := ga.brittle.line.countAhead(re.service, re.rank.Priority)
+		return ga.placeRefusal(re, places, ga.brittle.line.expectedWait(re.service, ahead, places.Usable))
+	}
 	if refusal := ga.coldRefusal(re, rq); refusal != nil {
 		return refusal
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -135,10 +135,12 @@
 func (ga *Gateway) LocalLoads(peers int) (map[mp.ServerID]peer.Load, peer.Digest) {
 	ga.observeHosts(peers + 1)
 	knownHosts := ga.hearMembers()
+	ga.brittle.line.wakeSome() // places become free with time, too
 	ga.updateSpeeds(ga.clock.Now())
 	ga.placerMu.Lock()
 	defer ga.placerMu.Unlock()
 	ga.loadTable.SetUpdateInterval(peer.UpdateInterval(peers))
+	ga.brittleTracker.SetUpdateInterval(peer.UpdateInterval(peers))
 	ga.loadTable.Expire(ga.clock.Now())
 	digest := ga.digest(ga.view.Load())
 	digest.KnownHosts = knownHosts
@@ -171,9 +173,11 @@
 	ga.placerMu.Lock()
 	ga.loadTable.Add(now, update)
 	ga.hearUpdate(now, update)
+	changes := ga.hearBrittle(now, update)
 	ga.mergeUsage(now, update)
 	ga.mergeSpeeds(now, update)
 	ga.placerMu.Unlock()
+	ga.logBrittle(changes, string(update.Host))
 	ga.overflow.receive(now, update)
 	ga.peers.MarkSeen(update.From)
 	ga.mergeSuspects(now, update.Host, update.Suspects)
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/brittle"
 	"github.com/mangopaddle/mangopaddle/evacuation"
 	"github.com/mangopaddle/mangopaddle/fairness"
 	"github.com/mangopaddle/mangopaddle/origin"
@@ -119,6 +120,8 @@
 	// demands is nil if updates carry none; the times are when they were sent last.
 	demands                             func(aggregate bool) []Demand
 	demandsSentAt, aggregateDemandsSent time.Time
+	// brittle is nil if updates don't tell of brittle services.
+	brittle func(aggregate bool) brittle.Reports
 }
 
 // LoadBroadcasterOption configures a broadcaster.
@@ -234,6 +237,9 @@
 			return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
 		}
 	}
+	if err := update.Brittle.Check(); err != nil {
+		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
+	}
 	if err := update.Demands.check(); err != nil {
 		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
 	}
@@ -285,7 +291,8 @@
 	update.Speeds = lb.speeds(&lb.speedTurn, false)
 	update.Usage = lb.usage(&lb.usageSentAt, false)
 	update.Demands = lb.demandReport(false, &lb.demandsSentAt)
-	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
+	update.Brittle = lb.brittleReports(false)
+	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || len(update.Brittle) > 0 || round%idleUpdateRounds == 0 {
 		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
@@ -296,6 +303,7 @@
 		update.Usage = lb.usage(&lb.aggregateUsageSentAt, true)
 		update.Speeds = lb.speeds(&lb.aggregateSpeedTurn, true)
 		update.Demands = lb.demandReport(true, &lb.aggregateDemandsSent)
+		update.Brittle = lb.brittleReports(true)
 		lb.write(update, lb.recipients.RemoteContacts())
 	}
 }
--- a/peer/loadtable.go
+++ b/peer/loadtable.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/brittle"
 	"github.com/mangopaddle/mangopaddle/fairness"
 	"github.com/mangopaddle/mangopaddle/origin"
 	"github.com/mangopaddle/mangopaddle/quarantine"
@@ -89,6 +90,9 @@
 	// Speeds is what the sender or, in an aggregate, the hosts of its data centre have
 	// observed of the speed of engines.
 	Speeds map[mp.ServiceName]speed.Report `json:"speeds,omitempty"`
+	// Brittle tells which services have brittle servers, as the sender or, in an aggregate, the
+	// hosts of its data centre have heard from them.
+	Brittle brittle.Reports `json:"brittle,omitempty"`
 	// Demands are those of the sender's callers; nil in most updates.
 	Demands *DemandReport `json:"demand,omitempty"`
 	// Origins are those of streams that the sender has begun to relay; nil unless servers of
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -55,7 +55,7 @@
 
 // isUsableCold reports whether a server is cold and nothing else excludes it.
 func (pl *Placer) isUsableCold(now time.Time, rq *Request, se *server) bool {
-	return pl.isCold(now, se) && !se.Evacuated && !rq.excludes(se) && !pl.isLeaving(se) && pl.pauseLeft(now, se) <= 0
+	return pl.isCold(now, se) && !se.Evacuated && !rq.excludes(se) && !pl.isLeaving(se) && pl.pauseLeft(now, se) <= 0 && !pl.lacksPlace(now, se)
 }
 
 // coldWait returns how long this host has to wait until it may send to a cold server; false
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/brittle"
 	"github.com/mangopaddle/mangopaddle/coldstart"
 	"github.com/mangopaddle/mangopaddle/speed"
 )
@@ -123,6 +124,8 @@
 	Cold bool
 	// chosenAt is the time of the choice of a cold server.
 	chosenAt time.Time
+	// Brittle reports that the server is brittle, and the request has a place there.
+	Brittle bool
 	// InSplit reports that the server is in the data centre that Request.Split returned.
 	InSplit bool
 	// nominalLatency is the time that the engine takes at the nominal speed,
@@ -167,6 +170,7 @@
 	notices      map[lifetime]*notice
 	leavingGrace time.Duration
 	cold         *coldstart.Tracker
+	brittle      *brittle.Tracker
 }
 
 // Option configures a placer.
@@ -195,6 +199,7 @@
 		speeds:       map[mp.ServiceName]*speed.Estimator{},
 		notices:      map[lifetime]*notice{},
 		cold:         coldstart.New("", time.Time{}),
+		brittle:      brittle.New("", "", time.Time{}),
 	}
 	for _, opt := range opts {
 		opt(pl)
@@ -268,19 +273,26 @@
 	if candidates[0].IsEngine {
 		pl.reservations[rq.Service].adjust(now, pl.streams)
 	}
-	return pl.orCold(now, rq, pl.chooseInSplit(now, rq, candidates)), true
+	ch := pl.orCold(now, rq, pl.chooseInSplit(now, rq, candidates))
+	ch.Brittle = !pl.brittle.IsIdle() && pl.brittle.IsBrittle(now, ch.Server.Brittle())
+	return ch, true
 }
 
 // candidates returns the servers that may get the request: those that are not
 // avoided, or all of them if every one is avoided. Servers that are about to stop are
 // returned only if there are no others and their grace isn't over. Cold servers are returned
 // only if no other one is in order, and this host may send to them now. Excluded servers and
-// those in a pause or an evacuated data centre are never returned.
+// those in a pause or an evacuated data centre are never returned, nor are brittle ones without
+// a free place; while there are such that aren't avoided, a place is worth a wait, and avoided
+// ones aren't returned.
 func (pl *Placer) candidates(now time.Time, rq *Request) []*server {
 	var healthy, avoided, leaving []*server
+	lacking := false
 	for _, se := range pl.services[rq.Service] {
 		switch {
 		case se.Evacuated || rq.excludes(se) || pl.pauseLeft(now, se) > 0 || pl.isCold(now, se):
+		case pl.lacksPlace(now, se):
+			lacking = lacking || !se.isAvoided(now) && !pl.isLeaving(se)
 		case pl.isLeaving(se):
 			if !rq.NotLeaving && pl.maySendToLeaving(now, se) {
 				leaving = append(leaving, se)
@@ -294,6 +306,9 @@
 	if len(healthy) > 0 {
 		return pl.slowStart(now, rq, healthy)
 	}
+	if lacking {
+		return pl.coldCandidates(now, rq)
+	}
 	for _, group := range [...][]*server{pl.coldCandidates(now, rq), avoided} {
 		if len(group) > 0 {
 			return group
@@ -377,6 +392,7 @@
 	if !firstEventSeen {
 		se.queue.remove(ch.Level, ch.PrefillTokens)
 	}
+	pl.recordBrittleEnd(now, se, firstEventSeen, outcome)
 	switch outcome {
 	case Succeeded:
 		se.recordSuccess(now)
