--- a/brittle/members.go
+++ b/brittle/members.go
@@ -194,7 +194,8 @@
 	if resumed := me.resumedAt.Add(me.startupPeriod()); !me.resumedAt.IsZero() && resumed.After(readyAt) {
 		readyAt = resumed
 	}
-	return !now.Before(readyAt)
+	wasPaused := !me.expiredAt.IsZero() && now.Sub(me.expiredAt) > pauseThreshold
+	return !wasPaused && !now.Before(readyAt)
 }
 
 // owns reports whether a slot of a server belongs to this host: to the first data centre in the
--- a/brittle/places.go
+++ b/brittle/places.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,10 +9,22 @@
 
 const (
 	// takeoverDelay is the time from a change of members to the use of a slot that another host
-	// had: it may still run a request there. takeoverSpread spreads the slots after it, so that
-	// few are taken at once if the other host is only out of reach.
-	takeoverDelay  = 2 * time.Second
-	takeoverSpread = 2 * time.Second
+	// had: it may still run a request there. The slots of a server follow each other by
+	// takeoverSpacing, in maxTakeoverTime at most, so that few rejections come at once if the
+	// other host is only out of reach.
+	takeoverDelay = 2 * time.Second
+	// A server that tolerates fewer than tolerantLimit rejections in a second falls over at two at
+	// once. Its slots are taken over later by intolerantDelay.
+	tolerantLimit   = 2
+	intolerantDelay = 30 * time.Second
+	// takeoverProbation is how long a slot counts as taken over. After a rejection in it, it is
+	// left to the other host for takeoverRetry.
+	takeoverProbation = 20 * time.Second
+	takeoverRetry     = 20 * time.Second
+	// heardBackoff is how long a host leaves a server alone that rejected a request of another.
+	heardBackoff    = 500 * time.Millisecond
+	takeoverSpacing = 1200 * time.Millisecond
+	maxTakeoverTime = 10 * time.Second
 	// minBackoff and maxBackoff bound how long a host leaves a server alone that rejected one of
 	// its requests; the time doubles with each rejection that follows within backoffMemory after
 	// its end.
@@ -27,67 +38,98 @@
 	maxSlots = 256
 )
 
+// ownSlot is a slot that belongs to this host.
+type ownSlot struct {
+	// usableFrom is when this host may use it, and takenUntil until when it counts as taken over
+	// from another host; zero if it wasn't.
+	usableFrom, takenUntil time.Time
+}
+
 // server is the state of a server of a service that is brittle, or lately was.
 type server struct {
 	Server
 	hash   uint64
 	words  words
 	usedAt time.Time
-	// usableFrom holds when this host may use each slot of its own, as of the members of version.
-	usableFrom map[int]time.Time
-	version    uint64
+	// slots are those of this host, as of the members of version.
+	slots   map[int]ownSlot
+	version uint64
 	// blockedUntil is the end of the time for which the host leaves the server alone.
 	blockedUntil time.Time
 	backoff      time.Duration
 	rejections   uint64
+	// rejectedAt and heardRejectionAt are when the server last rejected a request of this host,
+	// and of any host of the data centre.
+	rejectedAt, heardRejectionAt time.Time
 	// heldUntil are the ends of the times for which places stay taken.
 	heldUntil []time.Time
 }
 
-func (se Server) lifetime() lifetime { return lifetime{id: se.ID, startedAtMillis: se.StartedAtMillis} }
-
 // server returns the state of a server, creating it on first use.
 func (tr *Tracker) server(now time.Time, description Server) *server {
-	key := description.lifetime()
-	se, ok := tr.servers[key]
+	se, ok := tr.servers[description.ID]
 	if !ok {
-		se = &server{hash: xxhash.Sum64String(string(description.ID) + "\x00" + strconv.FormatInt(description.StartedAtMillis, 10))}
-		tr.servers[key] = se
+		se = &server{Server: description, hash: xxhash.Sum64String(string(description.ID))}
+		tr.servers[description.ID] = se
 	}
-	if se.Slots != description.Slots {
-		se.version = 0
+	se.usedAt = now
+	if se.StartedAtMillis < description.StartedAtMillis {
+		se.restart(now)
+	}
+	if se.StartedAtMillis <= description.StartedAtMillis {
+		se.setDescription(description)
 	}
-	se.Server, se.usedAt = description, now
 	if se.version != tr.members.version {
-		se.setMembers(now, &tr.members)
+		sv, ok := tr.services[description.Service]
+		se.setMembers(now, &tr.members, ok && sv.limit >= tolerantLimit)
 	}
 	return se
 }
 
+func (se *server) setDescription(description Server) {
+	if se.Slots != description.Slots {
+		se.version = 0
+	}
+	se.Server = description
+}
+
+// restart forgets what is true of one start of the server only. It may have fallen over because
+// a slot that was taken over still had its owner.
+func (se *server) restart(now time.Time) {
+	se.words, se.heldUntil, se.blockedUntil, se.backoff = words{}, nil, time.Time{}, 0
+	se.giveBack(now)
+}
+
 // setMembers decides anew which slots are this host's.
-func (se *server) setMembers(now time.Time, me *members) {
-	before := se.usableFrom
-	se.usableFrom, se.version = map[int]time.Time{}, me.version
+func (se *server) setMembers(now time.Time, me *members, isTolerant bool) {
+	before := se.slots
+	se.slots, se.version = map[int]ownSlot{}, me.version
 	for slot := range min(max(1, se.Slots), maxSlots) {
 		hash := mixBits(se.hash + uint64(slot))
 		if !me.owns(hash) {
 			continue
 		}
-		from, ok := before[slot]
+		own, ok := before[slot]
 		if !ok {
-			from = se.takeoverAt(now, me, hash)
+			own.usableFrom = se.takeoverAt(now, me, slot)
+		}
+		if !ok && before != nil && !isTolerant {
+			own.usableFrom = own.usableFrom.Add(intolerantDelay)
+		}
+		if !ok && before != nil {
+			own.takenUntil = own.usableFrom.Add(takeoverProbation)
 		}
-		se.usableFrom[slot] = from
+		se.slots[slot] = own
 	}
 }
 
 // takeoverAt returns when this host may use a slot that has become its own.
-func (se *server) takeoverAt(now time.Time, me *members, slotHash uint64) time.Time {
+func (se *server) takeoverAt(now time.Time, me *members, slot int) time.Time {
 	if me.changedAt.IsZero() {
 		return now // there were never others
 	}
-	spread := time.Duration(weight(me.self, slotHash+1) % uint64(takeoverSpread))
-	return me.changedAt.Add(takeoverDelay + spread)
+	spacing := min(takeoverSpacing, maxTakeoverTime/time.Duration(min(max(1, se.Slots), maxSlots)))
+	return me.changedAt.Add(takeoverDelay + time.Duration(slot)*spacing)
 }
 
 // Places returns the number of places at a server that this host may use.
@@ -100,8 +142,8 @@
 		return 0
 	}
 	usable := 0
-	for _, from := range se.usableFrom {
-		if !now.Before(from) {
+	for _, own := range se.slots {
+		if !now.Before(own.usableFrom) {
 			usable++
 		}
 	}
@@ -122,6 +164,8 @@
 		return
 	}
 	se := tr.server(now, description)
+	se.rejectedAt, se.heardRejectionAt = now, now
+	se.giveBack(now)
 	if now.Sub(se.blockedUntil) >= backoffMemory {
 		se.backoff = 0
 	}
@@ -131,6 +175,30 @@
 	se.blockedUntil = now.Add(se.backoff + spread/2)
 }
 
+// giveBack leaves slots that were taken over lately to the hosts that had them, which seem to be
+// out of reach only.
+func (se *server) giveBack(now time.Time) {
+	for slot, own := range se.slots {
+		if now.Before(own.takenUntil) {
+			own.usableFrom = now.Add(takeoverRetry + takeoverSpacing*time.Duration(slot))
+			own.takenUntil = own.usableFrom.Add(takeoverProbation)
+			se.slots[slot] = own
+		}
+	}
+}
+
+// recordHeardRejection records that a server rejected a request of another host at a time.
+func (se *server) recordHeardRejection(now, at time.Time) {
+	if !at.After(se.heardRejectionAt.Add(heardBackoff)) {
+		return
+	}
+	se.heardRejectionAt = at
+	se.giveBack(now)
+	if until := at.Add(heardBackoff); until.After(se.blockedUntil) {
+		se.blockedUntil = until
+	}
+}
+
 // RecordAbandonment records that a request of this host was given up, which the server may not
 // have noticed yet.
 func (tr *Tracker) RecordAbandonment(now time.Time, description Server) {
--- a/brittle/report.go
+++ b/brittle/report.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,6 +19,10 @@
 	maxNameBytes = 512
 	// maxLimit bounds a number of tolerated rejections that is believed.
 	maxLimit = 1 << 20
+	// rejectionMemory is how long others are told of a rejection, and maxRejections the maximum
+	// number of servers of a service in a report that rejected requests.
+	rejectionMemory = time.Second
+	maxRejections   = 8
 )
 
 // Report is what one or more hosts have heard from the servers of a service.
@@ -27,6 +32,28 @@
 	Age mp.Duration `json:"age"`
 	// DeniedAge is the time since the last answer that did not; zero if none came after it.
 	DeniedAge mp.Duration `json:"denied_age,omitempty"`
+	// Rejections are the servers that lately rejected a request.
+	Rejections []Rejection `json:"rejections,omitempty"`
+}
+
+// Rejection tells of a server that rejected a request.
+type Rejection struct {
+	Server          mp.ServerID `json:"server"`
+	StartedAtMillis int64       `json:"started_at_ms,omitempty"`
+	Age             mp.Duration `json:"age"`
+}
+
+// check returns an error if the report can't be.
+func (re Report) check() error {
+	if re.Limit < 0 || re.Limit > maxLimit || re.Age < 0 || re.Age.Std() > wordMemory || re.DeniedAge < 0 || re.DeniedAge > re.Age || len(re.Rejections) > maxRejections {
+		return errors.NotValidf("report %+v", re)
+	}
+	for _, rj := range re.Rejections {
+		if rj.Server == "" || rj.Age < 0 || rj.Age.Std() > rejectionMemory {
+			return errors.NotValidf("rejection %+v", rj)
+		}
+	}
+	return nil
 }
 
 // Reports holds a report for each service that is brittle.
@@ -38,8 +65,8 @@
 		return errors.NotValidf("reports on %d brittle services (want at most %d)", len(rs), maxReports)
 	}
 	for name, re := range rs {
-		if name == "" || re.Limit < 0 || re.Limit > maxLimit || re.Age < 0 || re.Age.Std() > wordMemory || re.DeniedAge < 0 || re.DeniedAge > re.Age {
-			return errors.NotValidf("report %+v on brittle service %q", re, name)
+		if err := re.check(); err != nil || name == "" {
+			return errors.NewNotValid(err, "brittle service "+strconv.Quote(string(name)))
 		}
 	}
 	return nil
@@ -67,11 +94,31 @@
 		if reports == nil {
 			reports = Reports{}
 		}
-		reports[name] = tr.services[name].report(now, sc)
+		re := tr.services[name].report(now, sc)
+		re.Rejections = tr.rejections(now, name, sc)
+		reports[name] = re
 	}
 	return reports
 }
 
+// rejections returns the servers of a service that lately rejected requests, the last ones first.
+func (tr *Tracker) rejections(now time.Time, name mp.ServiceName, sc scope) []Rejection {
+	var rejections []Rejection
+	for _, se := range tr.servers {
+		at := se.rejectedAt
+		if sc != ownScope {
+			at = se.heardRejectionAt
+		}
+		if se.Service == name && now.Sub(at) < rejectionMemory {
+			rejections = append(rejections, Rejection{Server: se.ID, StartedAtMillis: se.StartedAtMillis, Age: mp.Duration(now.Sub(at))})
+		}
+	}
+	slices.SortFunc(rejections, func(one, two Rejection) int {
+		return cmp.Or(cmp.Compare(one.Age, two.Age), cmp.Compare(one.Server, two.Server))
+	})
+	return rejections[:min(len(rejections), maxRejections)]
+}
+
 func (sv *service) report(now time.Time, sc scope) Report {
 	wo := &sv.words[sc]
 	re := Report{Limit: min(sv.limit, maxLimit), Age: mp.Duration(now.Sub(wo.said))}
@@ -101,6 +148,11 @@
 		if re.DeniedAge > 0 {
 			sv.deny(now.Add(-re.DeniedAge.Std()), sc)
 		}
+		for _, rj := range re.Rejections {
+			if se, ok := tr.servers[rj.Server]; ok && se.StartedAtMillis == rj.StartedAtMillis {
+				se.recordHeardRejection(now, now.Add(-rj.Age.Std()))
+			}
+		}
 		changes = append(changes, sv.announce(now, name, SourcePeer)...)
 	}
 	return changes
--- a/brittle/tracker.go
+++ b/brittle/tracker.go
@@ -116,18 +116,12 @@
 	return now.Sub(wo.said) < wordMemory && !wo.isDenied(serviceDenial)
 }
 
-// lifetime identifies one start of a server.
-type lifetime struct {
-	id              mp.ServerID
-	startedAtMillis int64
-}
-
 // Tracker holds which services are brittle and which places at their servers are this host's. It
 // is not safe for concurrent use.
 type Tracker struct {
 	members  members
 	services map[mp.ServiceName]*service
-	servers  map[lifetime]*server
+	servers  map[mp.ServerID]*server
 }
 
 // Option configures a tracker.
@@ -144,7 +138,7 @@
 	tr := &Tracker{
 		members:  newMembers(self, home, startedAt),
 		services: map[mp.ServiceName]*service{},
-		servers:  map[lifetime]*server{},
+		servers:  map[mp.ServerID]*server{},
 	}
 	for _, opt := range opts {
 		opt(tr)
@@ -162,8 +156,8 @@
 	if !ok || !sv.isBrittle(now) {
 		return false
 	}
-	se, ok := tr.servers[description.lifetime()]
-	return !ok || !se.words.isDenied(serverDenial)
+	se, ok := tr.servers[description.ID]
+	return !ok || se.StartedAtMillis != description.StartedAtMillis || !se.words.isDenied(serverDenial)
 }
 
 // BrittleCount returns the number of services that are brittle.
@@ -191,6 +185,9 @@
 		return nil
 	}
 	se := tr.server(now, description)
+	if se.StartedAtMillis != description.StartedAtMillis {
+		return nil // of an earlier start
+	}
 	if !word.Brittle {
 		se.words.deny(now)
 		sv.deny(now, ownScope)
@@ -253,9 +250,9 @@
 			delete(tr.services, name)
 		}
 	}
-	for key, se := range tr.servers {
+	for id, se := range tr.servers {
 		if _, ok := tr.services[se.Service]; !ok || now.Sub(se.usedAt) >= serverMemory {
-			delete(tr.servers, key)
+			delete(tr.servers, id)
 		}
 	}
 	return changes
