--- a/brittle/fleet_test.go
+++ b/brittle/fleet_test.go
@@ -128,17 +128,7 @@
 			if from == to || !isLocal && first[from.dataCentre] != from || fl.partitioned && from.side != to.side || fl.random.IntN(100) < fl.lost {
 				continue
 			}
-			deliver := func() {
-				switch {
-				case !fl.isAlive(to):
-				case isLocal:
-					to.tracker.Hear(fl.now, from.name)
-					to.tracker.Merge(fl.now, own, false)
-				default:
-					to.tracker.HearDataCentre(fl.now, from.dataCentre)
-					to.tracker.Merge(fl.now, aggregate, true)
-				}
-			}
+			deliver := func() { fl.deliver(from, to, own, aggregate) }
 			if fl.random.IntN(4) == 0 {
 				fl.delayed = append(fl.delayed, deliver)
 				continue
@@ -148,6 +138,19 @@
 	}
 }
 
+// deliver delivers an update of a host, with what it or its data centre has heard.
+func (fl *fleet) deliver(from, to *fleetHost, own, aggregate brittle.Reports) {
+	switch {
+	case !fl.isAlive(to):
+	case from.dataCentre == to.dataCentre:
+		to.tracker.Hear(fl.now, from.name)
+		to.tracker.Merge(fl.now, own, false)
+	default:
+		to.tracker.HearDataCentre(fl.now, from.dataCentre)
+		to.tracker.Merge(fl.now, aggregate, true)
+	}
+}
+
 // send sends one request of a host to a server with a free place; false if there is none.
 func (fl *fleet) send(ho *fleetHost) bool {
 	for _, ix := range fl.random.Perm(len(fl.servers)) {
--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mangopaddle/mangopaddle/gateway"
@@ -156,3 +157,58 @@
 	require.LessOrEqual(t, brittle.falls(), 2+brittleServers/10)
 	require.GreaterOrEqual(t, served, 0.8*servedSound)
 }
+
+// TestOddBrittleHeaders guards against requests that are lost because a server states no proper
+// limit of rejections, and against a log line for each answer.
+func TestOddBrittleHeaders(t *testing.T) {
+	headers := []string{"Server-Brittle:", "Server-Brittle: -3", "Server-Brittle: 99999999999999999999", "Server-Brittle: 2.5", "Server-Brittle: many", "X-Other: 1", "Server-Brittle: 4"}
+	var count atomic.Int64
+	server := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		co.Respond(rq, http.StatusOK, "ok", headers[int(count.Add(1))%len(headers)])
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{server}, nil)
+	fx.get("r-first")
+	fx.eventually(func() bool { return fx.get("r-ready").status == http.StatusOK })
+	for ix := range 5 * len(headers) {
+		require.Equal(t, http.StatusOK, fx.get(fmt.Sprint("r-", ix)).status)
+	}
+	require.Equal(t, 1, fx.logs.Count("service_brittle"))
+	require.Equal(t, 1, fx.logs.Count("brittle_header_odd"))
+}
+
+// TestBrittleServerWithoutPlace guards against a request beyond the slots of a brittle server,
+// and against a refusal that isn't truthful. The load is 12 requests at once; 6 slots are free.
+func TestBrittleServerWithoutPlace(t *testing.T) {
+	release := make(chan struct{})
+	server := startServer(t, func(co *fakeserver.Conn, rq fakeserver.Request) bool {
+		if rq.ID[:2] == "b-" {
+			<-release
+		}
+		co.Respond(rq, http.StatusOK, "ok", "Server-Brittle: 3")
+		return true
+	})
+	fx := newFixture(t, []*fakeserver.Server{server}, nil)
+	fx.get("r-first")
+	fx.eventually(func() bool { return fx.get("r-ready").status == http.StatusOK })
+	before := requestCount(server)
+	var group sync.WaitGroup
+	var refused atomic.Int64
+	for ix := range 12 {
+		group.Go(func() {
+			response := fx.get(fmt.Sprint("b-", ix))
+			if response.status != http.StatusServiceUnavailable {
+				return
+			}
+			refused.Add(1)
+			after, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+			assert.NoError(t, err)
+			assert.Positive(t, after)
+		})
+	}
+	fx.eventually(func() bool { return refused.Load() == 6 })
+	require.Equal(t, before+6, requestCount(server))
+	close(release)
+	group.Wait()
+	require.Equal(t, int64(6), refused.Load())
+}
--- a/placement/brittle.go
+++ b/placement/brittle.go
@@ -40,7 +40,7 @@
 		return places
 	}
 	for _, se := range pl.services[rq.Service] {
-		if se.Evacuated || rq.excludes(se) || pl.pauseLeft(now, se) > 0 || pl.isLeaving(se) || !pl.lacksPlace(now, se) {
+		if pl.isOut(now, rq, se) || pl.isLeaving(se) || !pl.lacksPlace(now, se) {
 			continue
 		}
 		places.Servers++
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -290,7 +290,7 @@
 	lacking := false
 	for _, se := range pl.services[rq.Service] {
 		switch {
-		case se.Evacuated || rq.excludes(se) || pl.pauseLeft(now, se) > 0 || pl.isCold(now, se):
+		case pl.isOut(now, rq, se) || pl.isCold(now, se):
 		case pl.lacksPlace(now, se):
 			lacking = lacking || !se.isAvoided(now) && !pl.isLeaving(se)
 		case pl.isLeaving(se):
@@ -317,6 +317,11 @@
 	return leaving
 }
 
+// isOut reports whether a server must not get the request, whatever others there are.
+func (pl *Placer) isOut(now time.Time, rq *Request, se *server) bool {
+	return se.Evacuated || rq.excludes(se) || pl.pauseLeft(now, se) > 0
+}
+
 // failureCost is the expected latency added to a server whose requests all
 // fail; it is scaled by the failure ratio.
 const failureCost = time.Second
