--- a/gateway/brittle.go
+++ b/gateway/brittle.go
@@ -20,6 +20,10 @@
 	deadlineWaitRatio = 0.25
 	// maxPlaceWait bounds the wait: what the request was checked against must not be too old.
 	maxPlaceWait = time.Second
+	// maxPlaceLine is the maximum number of requests of a service that wait at a host.
+	maxPlaceLine = 1000
+	// begunPriority is that of a stream that has begun, more urgent than any of the operator's.
+	begunPriority = -1
 	// minPlaceReturn is the shortest mean Retry-After of a request that got no place.
 	minPlaceReturn = 200 * time.Millisecond
 	// oddBrittleLogInterval is the shortest time between two log lines on faulty headers.
@@ -156,7 +160,7 @@
 
 func (ga *Gateway) chooseOrWait(ctx context.Context, re *request) (placement.Choice, *mp.Error) {
 	rq := ga.placementRequest(re)
-	ahead := ga.brittle.line.countAhead(re.service, re.rank.Priority)
+	ahead := ga.brittle.line.countAhead(re.service, re.placePriority())
 	if ahead == 0 || ga.wantedPlaces(rq).Servers == 0 {
 		ch, refusal := ga.chooseServer(re, rq, re.mayHaveRun)
 		if refusal == nil || ch.Server.ID != "" || ga.wantedPlaces(rq).Servers == 0 {
@@ -166,7 +170,7 @@
 	places := ga.wantedPlaces(rq)
 	limit := ga.placeWaitLimit(re)
 	expected := ga.brittle.line.expectedWait(re.service, ahead, places.Usable)
-	if places.Usable == 0 || expected > limit {
+	if places.Usable == 0 || ahead >= maxPlaceLine || expected > limit {
 		return placement.Choice{}, ga.placeRefusal(re, places, expected)
 	}
 	return ga.awaitPlace(ctx, re, ahead, limit)
@@ -179,7 +183,7 @@
 	defer cancel()
 	timer := ga.clock.AfterFunc(limit, cancel)
 	defer timer.Stop()
-	wa := ga.brittle.line.join(re.service, re.rank.Priority)
+	wa := ga.brittle.line.join(re.service, re.placePriority())
 	ch, refusal := ga.tryInTurn(ctx, re, wa)
 	ga.brittle.line.leave(wa)
 	outcome := "sent"
@@ -187,7 +191,7 @@
 		outcome = refusal.Kind.String()
 	}
 	ga.counters.countBrittle("waited")
-	re.log(ga.logger.Info(), "place_awaited").Str("service", string(re.service)).Int("priority", re.rank.Priority).Int("ahead", ahead).
+	re.log(ga.logger.Info(), "place_awaited").Str("service", string(re.service)).Int("priority", re.placePriority()).Int("ahead", ahead).
 		Dur("limit_ms", limit).Dur("waited_ms", ga.clock.Since(began)).Str("outcome", outcome).Msg("request waited for a place at a brittle server")
 	return ch, refusal
 }
@@ -222,6 +226,15 @@
 	return ga.quarantineRefusal(re)
 }
 
+// placePriority returns the priority of the request in the line for a place. A stream that has
+// begun goes before all others.
+func (re *request) placePriority() int {
+	if re.stream != nil {
+		return begunPriority
+	}
+	return re.rank.Priority
+}
+
 // placeWaitLimit returns how long a request may still wait for a place.
 func (ga *Gateway) placeWaitLimit(re *request) time.Duration {
 	now := ga.clock.Now()
@@ -230,7 +243,11 @@
 	if remaining > 0 && (limit <= 0 || limit > remaining/2) {
 		limit = time.Duration(deadlineWaitRatio * float64(remaining))
 	}
-	return min(limit, maxPlaceWait) - now.Sub(re.arrived)
+	limit = min(limit, maxPlaceWait)
+	if re.stream != nil {
+		return limit
+	}
+	return limit - now.Sub(re.arrived)
 }
 
 func (ga *Gateway) wantedPlaces(rq *placement.Request) placement.Places {
--- a/gateway/notice.go
+++ b/gateway/notice.go
@@ -56,7 +56,7 @@
 		return mp.NewError(mp.KindOverloaded, "all servers of service %q want a pause", re.service).WithRetryAfter(delay)
 	}
 	if places := ga.wantedPlaces(rq); places.Servers > 0 {
-		ahead := ga.brittle.line.countAhead(re.service, re.rank.Priority)
+		ahead := ga.brittle.line.countAhead(re.service, re.placePriority())
 		return ga.placeRefusal(re, places, ga.brittle.line.expectedWait(re.service, ahead, places.Usable))
 	}
 	if refusal := ga.coldRefusal(re, rq); refusal != nil {
