brittle: no delay for slots when a server turns brittle

Cause: the slots of a server that turned brittle just after a host joined or left were delayed as if they had been taken over, by up to 12 s. Change: only slots that another host had while the server was brittle are delayed.

--- a/brittle/members.go
+++ b/brittle/members.go
@@ -109,9 +109,8 @@
 	resumedAt   time.Time
 	hosts       group[Host]
 	dataCentres group[mp.DataCentreID]
-	// version changes with the members, last at changedAt.
+	// version changes with the members.
 	version   uint64
-	changedAt time.Time
 	expiredAt time.Time
 	// interval is the one between two updates of a host.
 	interval time.Duration
@@ -137,7 +136,7 @@
 	me := &tr.members
 	if host != me.self {
 		me.recordContact(now)
-		me.recordMembers(now, me.hosts.hear(now, host, !me.isReady(now)))
+		me.recordMembers(me.hosts.hear(now, host, !me.isReady(now)))
 	}
 }
 
@@ -146,7 +145,7 @@
 	me := &tr.members
 	if dataCentre != me.home {
 		me.recordContact(now)
-		me.recordMembers(now, me.dataCentres.hear(now, dataCentre, !me.isReady(now)))
+		me.recordMembers(me.dataCentres.hear(now, dataCentre, !me.isReady(now)))
 	}
 }
 
@@ -160,10 +159,9 @@
 }
 
 // recordMembers records whether the members have changed.
-func (me *members) recordMembers(now time.Time, hasChanged bool) {
+func (me *members) recordMembers(hasChanged bool) {
 	if hasChanged {
 		me.version++
-		me.changedAt = now
 	}
 }
 
@@ -179,7 +177,7 @@
 	joinBefore := now.Add(-me.startupPeriod() / joinDivisor)
 	hostsChanged, dataCentresChanged := me.hosts.expire(now, me.memory()), me.dataCentres.expire(now, me.memory())
 	hostsJoined, dataCentresJoined := me.hosts.join(joinBefore), me.dataCentres.join(joinBefore)
-	me.recordMembers(now, hostsChanged || dataCentresChanged || hostsJoined || dataCentresJoined)
+	me.recordMembers(hostsChanged || dataCentresChanged || hostsJoined || dataCentresJoined)
 }
 
 // isReady reports whether this host has heard of the others and they of it.
--- a/brittle/places.go
+++ b/brittle/places.go
@@ -110,26 +110,26 @@
 			continue
 		}
 		own, ok := before[slot]
-		if !ok {
-			own.usableFrom = se.takeoverAt(now, me, slot)
-		}
-		if !ok && before != nil && !isTolerant {
-			own.usableFrom = own.usableFrom.Add(intolerantDelay)
-		}
 		if !ok && before != nil {
-			own.takenUntil = own.usableFrom.Add(takeoverProbation)
+			own = se.takeover(now, slot, isTolerant)
 		}
 		se.slots[slot] = own
 	}
 }
 
-// takeoverAt returns when this host may use a slot that has become its own.
-func (se *server) takeoverAt(now time.Time, me *members, slot int) time.Time {
-	if me.changedAt.IsZero() {
-		return now // there were never others
+// takeover returns a slot that another host had until now.
+func (se *server) takeover(now time.Time, slot int, isTolerant bool) ownSlot {
+	usableFrom := now.Add(takeoverDelay + se.offset(slot))
+	if !isTolerant {
+		usableFrom = usableFrom.Add(intolerantDelay)
 	}
+	return ownSlot{usableFrom: usableFrom, takenUntil: usableFrom.Add(takeoverProbation)}
+}
+
+// offset returns how much later than the first slot a slot is taken over.
+func (se *server) offset(slot int) time.Duration {
 	spacing := min(takeoverSpacing, maxTakeoverTime/time.Duration(min(max(1, se.Slots), maxSlots)))
-	return me.changedAt.Add(takeoverDelay + time.Duration(slot)*spacing)
+	return time.Duration(slot) * spacing
 }
 
 // Places returns the number of places at a server that this host may use.
@@ -180,7 +180,7 @@
 func (se *server) giveBack(now time.Time) {
 	for slot, own := range se.slots {
 		if now.Before(own.takenUntil) {
-			own.usableFrom = now.Add(takeoverRetry + takeoverSpacing*time.Duration(slot))
+			own.usableFrom = now.Add(takeoverRetry + se.offset(slot))
 			own.takenUntil = own.usableFrom.Add(takeoverProbation)
 			se.slots[slot] = own
 		}
