--- a/gateway/maintain.go
+++ b/gateway/maintain.go
@@ -26,6 +26,7 @@
 	ga.backends.Prune()
 	ga.pruneForwards()
 	ga.expireCold()
+	ga.expireBrittle(now)
 	ga.updateGauges()
 	ga.observeFairness(now)
 }
--- a/peer/broadcaster.go
+++ b/peer/broadcaster.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/brittle"
 	"github.com/mangopaddle/mangopaddle/evacuation"
 	"github.com/mangopaddle/mangopaddle/fairness"
 	"github.com/mangopaddle/mangopaddle/origin"
@@ -121,6 +122,8 @@
 	demandsSentAt, aggregateDemandsSent time.Time
 	// forwards returns the hosts that accept forwards.
 	forwards func() []Address
+	// brittle is nil if updates don't tell of brittle services.
+	brittle func(aggregate bool) brittle.Reports
 }
 
 // LoadBroadcasterOption configures a broadcaster.
@@ -237,6 +240,9 @@
 			return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
 		}
 	}
+	if err := update.Brittle.Check(); err != nil {
+		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
+	}
 	if err := update.Demands.check(); err != nil {
 		return LoadUpdate{}, errors.Annotatef(err, "load update of host %q", update.Host)
 	}
@@ -291,7 +297,8 @@
 	update.Speeds = lb.speeds(&lb.speedTurn, false)
 	update.Usage = lb.usage(&lb.usageSentAt, false)
 	update.Demands = lb.demandReport(false, &lb.demandsSentAt)
-	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || round%idleUpdateRounds == 0 {
+	update.Brittle = lb.brittleReports(false)
+	if len(loads) > 0 || len(update.Suspects) > 0 || len(update.Usage) > 0 || update.Demands != nil || len(update.Brittle) > 0 || round%idleUpdateRounds == 0 {
 		lb.write(update, peers)
 	}
 	if round%aggregateRounds != 0 {
@@ -303,6 +310,7 @@
 		update.Speeds = lb.speeds(&lb.aggregateSpeedTurn, true)
 		update.Demands = lb.demandReport(true, &lb.aggregateDemandsSent)
 		update.Forwards = lb.forwards()
+		update.Brittle = lb.brittleReports(true)
 		lb.write(update, lb.recipients.RemoteContacts())
 	}
 }
@@ -339,6 +347,9 @@
 	if update.Usage, err = boundedUsage(update.Usage); err != nil {
 		return nil, 0, errors.Trace(err)
 	}
+	if update.Brittle, err = boundedBrittle(update.Brittle); err != nil {
+		return nil, 0, errors.Trace(err)
+	}
 	if update.Evacuations, err = boundedEvacuations(update.Evacuations); err != nil {
 		return nil, 0, errors.Trace(err)
 	}
