--- a/gateway/partition.go
+++ b/gateway/partition.go
@@ -222,7 +222,7 @@
 
 // acceptsForwards reports whether this host accepts requests that partitioned hosts forward.
 func (ga *Gateway) acceptsForwards() bool {
-	return ga.settings.ForwardAddress != "" && !ga.draining.Load() && !ga.isPartitioned()
+	return ga.settings.ForwardAddress != "" && ga.Ready() && !ga.isPartitioned()
 }
 
 // forwardPeers returns the hosts that accept forwards: those of this data centre first, then
--- a/gateway/stale_test.go
+++ b/gateway/stale_test.go
@@ -39,6 +39,14 @@
 	return fx, resumed
 }
 
+// requireNotResumed requires that a request was refused and no server went on with the stream.
+func requireNotResumed(t *testing.T, got clientResponse, resumed *atomic.Int64) {
+	t.Helper()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
+	require.Zero(t, resumed.Load())
+}
+
 // TestHostBehindTheStoreDoesNotTakeItsVersionForTheOnlyOne guards against a stream that began at a
 // server of which this host hasn't heard yet, and goes on at one of another software version.
 func TestHostBehindTheStoreDoesNotTakeItsVersionForTheOnlyOne(t *testing.T) {
@@ -51,9 +59,7 @@
 			}
 			fx.addSoftware(breakingEngine, newSoftware)
 			got := fx.takeUp("again", "r-elsewhere")
-			require.NoError(t, got.err)
-			require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
-			require.Zero(t, resumed.Load())
+			requireNotResumed(t, got, resumed)
 		})
 	}
 }
@@ -72,9 +78,7 @@
 	fx.addSoftware(breakingEngine, newSoftware)
 	third := fx.startHost("dc-1")
 	got := third.takeUp("again", "r-elsewhere")
-	require.NoError(t, got.err)
-	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
-	require.Zero(t, resumed.Load())
+	requireNotResumed(t, got, resumed)
 }
 
 // TestHostBehindTheStoreReadsItForACallerThatNamesNoStream guards against the same for a caller
@@ -84,9 +88,7 @@
 	fx.store.SetDropEvents(true)
 	fx.addSoftware(breakingEngine, newSoftware)
 	got := fx.post(resumablePath, "again", "prompt", "Last-Event-Id: 2")
-	require.NoError(t, got.err)
-	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
-	require.Zero(t, resumed.Load())
+	requireNotResumed(t, got, resumed)
 }
 
 // TestCopyOfTheStoreDoesNotMakeAVersionTheOnlyOne guards against the same when the store has come
@@ -98,9 +100,7 @@
 	fx.addSoftware(breakingEngine, newSoftware)
 	fx.store.Restore(saved)
 	got := fx.takeUp("again", "r-elsewhere")
-	require.NoError(t, got.err)
-	require.Equal(t, http.StatusServiceUnavailable, got.status, "%q", got.body)
-	require.Zero(t, resumed.Load())
+	requireNotResumed(t, got, resumed)
 }
 
 // TestQuestionsThatWaitForTheStoreLeaveRoomForOthers guards against a host that doesn't tell of a
