clientlimit: a client that announces too long a body reads the refusal

What callers saw: now and then no response but a reset connection, in place of 413.

Cause: ReadBody refused by the announced length and set Connection: close. net/http then closes at once, with the body unread, which resets the connection while the client still sends. It waits for the client only if its own MaxBytesReader has reached its limit.

Change: CloseAfterResponse lets one reach it on a byte of its own, without reading from the client. The same cause acted where a body didn't arrive whole or has no room, also in the own API; they use it too. Not changed: requests that the limiter refuses because the host is full, whose connections should go at once.

--- a/caller/body.go
+++ b/caller/body.go
@@ -32,7 +32,7 @@
 	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
 		return nil, mp.NewError(mp.KindRequestTooLarge, "the body is over %d bytes", se.limits.MaxBodyBytes)
 	}
-	ex.writer.Header().Set("Connection", "close")
+	clientlimit.CloseAfterResponse(ex.writer)
 	if errors.Is(err, clientlimit.ErrNoRoom) {
 		return nil, mp.WrapError(err, mp.KindOverloaded, "this host has no room for the body")
 	}
--- a/clientlimit/body.go
+++ b/clientlimit/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,7 @@
 		return nil, nil
 	}
 	if rq.ContentLength > int64(op.Limit) {
-		rw.Header().Set("Connection", "close")
+		CloseAfterResponse(rw)
 		return nil, &http.MaxBytesError{Limit: int64(op.Limit)}
 	}
 	up := newUpload(rw, rq, op)
@@ -81,6 +82,15 @@
 	return bo, nil
 }
 
+// CloseAfterResponse has the connection closed after the response to a request whose body is not
+// read. net/http gives the client time to read the response before it does so only after a
+// MaxBytesReader has reached its limit, for which a byte takes the place of the body.
+func CloseAfterResponse(rw http.ResponseWriter) {
+	rw.Header().Set("Connection", "close")
+	placeholder := io.NopCloser(strings.NewReader("x"))
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(rw, placeholder, 0)) // always fails
+}
+
 // upload is a body that is being received.
 type upload struct {
 	conn       *Conn // nil if the listener has no limiter
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -143,7 +143,7 @@
 		if errors.As(err, &tooLarge) {
 			return mp.NewError(mp.KindRequestTooLarge, "body over %d bytes", op.Limit)
 		}
-		re.rw.Header().Set("Connection", "close")
+		clientlimit.CloseAfterResponse(re.rw)
 		if errors.Is(err, clientlimit.ErrNoRoom) {
 			return mp.NewError(mp.KindOverloaded, "%v", err)
 		}
