gateway: the log tells what a host answers others that ask where a stream began

Found by the review.

Change: `origin_told` with the answer, its basis and the age of the list, and `origins_told` by basis.

Test: the test of a third host that asks requires the line.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -32,6 +32,7 @@
 	brittle        map[string]tally.Counter
 	checkedEnds    map[string]tally.Counter
 	origins        map[string]tally.Counter
+	originsTold    map[string]tally.Counter
 	partitions     map[partition.Change]tally.Counter
 	probes         map[string]tally.Counter
 	forwarded      map[string]tally.Counter
@@ -57,6 +58,7 @@
 		brittle:        map[string]tally.Counter{},
 		checkedEnds:    map[string]tally.Counter{},
 		origins:        map[string]tally.Counter{},
+		originsTold:    map[string]tally.Counter{},
 		partitions:     map[partition.Change]tally.Counter{},
 		probes:         map[string]tally.Counter{},
 		forwarded:      map[string]tally.Counter{},
@@ -175,6 +177,17 @@
 	}).Inc(1)
 }
 
+// countOriginTold counts a question of another host after the origin of a stream, by what the answer
+// rests on: a "record", the "list" of servers, nothing ("unknown"), or too many such questions
+// ("busy").
+func (co *counters) countOriginTold(basis string) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	cachedCounter(co, co.originsTold, basis, "origins_told", func() map[string]string {
+		return map[string]string{"basis": basis}
+	}).Inc(1)
+}
+
 // countPartitionChange counts a change of what this host knows of a partition from all backend
 // servers.
 func (co *counters) countPartitionChange(ch partition.Change) {
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -235,20 +235,46 @@
 	ga.softwareHistory.Observe(ga.clock.Now(), softwareOf(snapshot.Servers))
 }
 
-// Origin implements peer.Delegate. It answers from the records at once; few questions may wait
-// until the list of servers is read, because each of them takes a connection.
+// originBasis is what the answer to another host's question after an origin rests on.
+type originBasis string
+
+// The bases: a record, the list of servers, nothing that is known, or too many questions that
+// wait for a read of the list.
+const (
+	basisRecord  originBasis = "record"
+	basisList    originBasis = "list"
+	basisUnknown originBasis = "unknown"
+	basisBusy    originBasis = "busy"
+)
+
+// Origin implements peer.Delegate.
 func (ga *Gateway) Origin(ctx context.Context, rq peer.OriginRequest) peer.Origin {
-	software, ok := ga.recordedOrigin(rq)
-	if ok {
-		return peer.Origin{Software: software}
+	asked := ga.clock.Now()
+	software, basis := ga.originForPeer(ctx, rq)
+	ga.counters.countOriginTold(string(basis))
+	ga.logger.Info().Str("event", "origin_told").Str("peer", string(rq.From.Address)).Str("stream", string(rq.Stream)).
+		Str("service", string(rq.Service)).Str("software", string(software)).Str("basis", string(basis)).
+		Dur("list_age_ms", ga.clock.Since(ga.view.Load().ListConfirmedAt)).Dur("took_ms", ga.clock.Since(asked)).
+		Msg("another host asked for the software version that began a stream")
+	return peer.Origin{Software: software}
+}
+
+// originForPeer answers from the records at once. Few questions may wait until the list of servers
+// is read, because each of them takes a connection.
+func (ga *Gateway) originForPeer(ctx context.Context, rq peer.OriginRequest) (mp.SoftwareVersion, originBasis) {
+	if software, ok := ga.recordedOrigin(rq); ok {
+		return software, basisRecord
 	}
 	select {
 	case ga.originWaits <- struct{}{}:
 		defer func() { <-ga.originWaits }()
-		software, _ = ga.knownOrigin(ctx, rq)
 	default:
+		return "", basisBusy
 	}
-	return peer.Origin{Software: software}
+	if software, ok := ga.knownOrigin(ctx, rq); ok {
+		return software, basisList
+	}
+	return "", basisUnknown
 }
 
 // Origins implements peer.LoadDelegate. Other hosts need no records of a service that has had
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -182,6 +182,7 @@
 				require.Equal(t, software, softwareIn(t, got.body))
 				require.Equal(t, "peer", fx.originSource("asked-"+stream))
 			}
+			require.Positive(t, fx.logs.Count("origin_told"))
 		})
 	}
 }
