peer, gateway: a partitioned host introduces itself to the host that it forwards to

Cause: a host accepts forwards from hosts that it knows only, and closes other connections unread. Hosts of other data centres know each other by samples, so on a large deployment most don't.

Test: TestHostThatDoesNotKnowThePartitionedOneServesItsRequests; with the code before it gets 504, "unexpected EOF".

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -225,6 +225,7 @@
 // connect takes a pooled connection or opens a new one. It returns nil, or the result of
 // the failed attempt.
 func (ga *Gateway) connect(ctx context.Context, re *request, at *attempt) *result {
+	ga.introduce(ctx, re, at)
 	co, err := ga.poolOf(at.choice.Server).GetFor(ctx, string(re.headers.ID), at.choice.Server.Address, at.maxIdle)
 	if err != nil {
 		ga.partition.recordDial(ctx, at, err)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"slices"
@@ -81,14 +82,26 @@
 	return placement.Choice{}, false
 }
 
-// forwardTarget returns the host with a gossip address as the target of requests. It returns an
+// forwardTarget returns the host with a gossip address, which is its ID, as the target of requests. It returns an
 // error if the address is malformed.
 func (ga *Gateway) forwardTarget(ad peer.Address) (placement.Server, error) {
 	ip, _, err := net.SplitHostPort(string(ad))
 	if err != nil {
 		return placement.Server{}, errors.Trace(err)
 	}
-	return placement.Server{ID: mp.ServerID("host " + ip), Address: net.JoinHostPort(ip, ga.forwardPort), IsHost: true}, nil
+	return placement.Server{ID: mp.ServerID(ad), Address: net.JoinHostPort(ip, ga.forwardPort), IsHost: true}, nil
+}
+
+// introduce makes the other host of an attempt know this one, since it accepts forwards from hosts
+// that it knows only. If that fails, the attempt shows whether it does.
+func (ga *Gateway) introduce(ctx context.Context, re *request, at *attempt) {
+	if !at.choice.Server.IsHost {
+		return
+	}
+	if err := ga.peers.Introduce(ctx, peer.Address(at.choice.Server.ID)); err != nil {
+		re.log(ga.logger.Info(), "introduction_failed").Str("host", at.choice.Server.Address).Err(err).
+			Dur("took_ms", ga.clock.Since(re.arrived)).Msg("the other host may not know this one")
+	}
 }
 
 // hostRequest returns the headers of the request to another host. Attempts must not count the
--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	mp "github.com/mangopaddle/mangopaddle"
 	"github.com/mangopaddle/mangopaddle/gateway"
 	"github.com/mangopaddle/mangopaddle/loopback"
 	"github.com/mangopaddle/mangopaddle/peer"
@@ -541,3 +542,23 @@
 	}
 	require.Equal(t, 1, requestCount(leaving))
 }
+
+// TestHostThatDoesNotKnowThePartitionedOneServesItsRequests guards against a request that isn't
+// served, and looks as if it might have run, because the other host knows only hosts that it has
+// heard of.
+func TestHostThatDoesNotKnowThePartitionedOneServesItsRequests(t *testing.T) {
+	app := startServer(t, respondWith("ok"))
+	fp := newForwardPlay(t, []*fakeserver.Server{app})
+	stranger := *fp.fixture
+	stranger.setNewAddresses()
+	stranger.settings.ForwardAddress = forwardAddressOf(stranger.settings.PeerAddress)
+	stranger.settings.DataCentre = "dc-2"
+	stranger.settings.Regions = map[mp.DataCentreID]mp.RegionID{"dc-1": "region-1", "dc-2": "region-1"}
+	stranger.start()
+	fp.partition(stranger.settings.PeerAddress)
+	for number := range 3 {
+		got := fp.post(nonIdempotentPath, fmt.Sprint("r-", number), "body")
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status, "%q", got.body)
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -72,6 +72,8 @@
 	members     *MemberList
 	unreachable map[Address]bool // hosts whose last exchange failed
 	requested   chan Address     // hosts passed to TriggerExchange
+	// introductions are the last ones to hosts of other data centres.
+	introductions map[Address]*introduction
 	// newerConfigurations are the hosts passed to TriggerTransfer; transfers limits the
 	// configurations that are sent at once.
 	newerConfigurations chan Address
@@ -132,7 +134,9 @@
 		dial:        dialTCP,
 		onDial:      func(mp.DataCentreID, time.Duration) {},
 		unreachable: map[Address]bool{},
-		requested:   make(chan Address, 1),
+
+		introductions: map[Address]*introduction{},
+		requested:     make(chan Address, 1),
 
 		newerConfigurations: make(chan Address, 1),
 		transfers:           make(chan struct{}, maxTransfers),
