follow, gateway: the follower's list and watch, and the tests of forwarding, have files of their own

Change: functions move to follow/list.go and watch.go, tests to forwardstream_test.go, and what they share to forwardfixture_test.go. No line of a function changes. The tests of follow (with -race) and of forwarding pass.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	mp "github.com/mangopaddle/mangopaddle"
@@ -222,46 +220,6 @@
 	}
 }
 
-// runWatch applies changes as the store reports them. It only shortens the delay of a
-// change: a watch may be cut off, hang or miss changes, and the next list call finds
-// them. Only the first host in the reader order watches.
-func (fo *Follower) runWatch(ctx context.Context) {
-	failures := 0
-	for ctx.Err() == nil {
-		after := fo.watchedUntil()
-		if after.IsZero() || fo.readerOrder() > 0 {
-			fo.sleep(ctx, watchCheckInterval)
-			continue
-		}
-		page, err := fo.watchOnce(ctx, after)
-		if err != nil {
-			failures++
-			fo.recordFailure("watch", err)
-			fo.backoff(ctx, fo.readerOrder()+watchBackoffOrder, failures)
-			continue
-		}
-		failures = 0
-		fo.recordSuccess("watch")
-		fo.advanceWatch(page.Position)
-		fo.applyChanges(page)
-	}
-}
-
-// watchOnce waits for changes after a position. If the store has no history after it, it
-// requests a list call instead.
-func (fo *Follower) watchOnce(ctx context.Context, after mp.Position) (platform.Page, error) {
-	waiting, cancel := context.WithTimeout(ctx, watchTimeout+maxTransferTime)
-	defer cancel()
-	page, err := fo.store.Watch(waiting, "", after, watchTimeout)
-	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, platform.ErrRestored) {
-		fo.logger.Info().Str("event", "watch_restarted").Uint64("era", uint64(after.Era)).Uint64("revision", uint64(after.Revision)).
-			Err(err).Msg("watch can't continue; reading the list")
-		fo.resetWatch()
-		fo.Refresh()
-	}
-	return page, err
-}
-
 // Refresh requests an immediate list call. It does not wait for it.
 func (fo *Follower) Refresh() {
 	select {
@@ -270,135 +228,6 @@
 	}
 }
 
-// watchedUntil returns the position after which the watch continues.
-func (fo *Follower) watchedUntil() mp.Position {
-	fo.mu.Lock()
-	defer fo.mu.Unlock()
-	return fo.watchPosition
-}
-
-// advanceWatch lets the watch continue after a position, unless it has got further.
-func (fo *Follower) advanceWatch(position mp.Position) {
-	fo.mu.Lock()
-	defer fo.mu.Unlock()
-	if fo.watchPosition.Before(position) {
-		fo.watchPosition = position
-	}
-}
-
-// resetWatch ends the watch until the list is read again.
-func (fo *Follower) resetWatch() {
-	fo.mu.Lock()
-	defer fo.mu.Unlock()
-	fo.watchPosition = mp.Position{}
-}
-
-// applyChanges applies the configuration and the server entries that a watch
-// reported.
-func (fo *Follower) applyChanges(page platform.Page) {
-	fo.applyEvacuationChanges(page)
-	servers := platform.Page{Position: page.Position}
-	for _, it := range page.Items {
-		if strings.HasPrefix(string(it.Key), platform.ServersPrefix) {
-			servers.Items = append(servers.Items, it)
-		}
-	}
-	fo.applyConfigurationFrom(page)
-	now := fo.clock.Now()
-	fo.submit(func(st *state) bool {
-		st.confirmConfigurationAsOf(now, page.Position)
-		return len(servers.Items) > 0 && st.applyServerChanges(now, servers)
-	})
-}
-
-// runList lists the backend servers at an interval. The store's position in the
-// response shows whether the configuration may have changed as well.
-func (fo *Follower) runList(ctx context.Context) {
-	var configPosition mp.Position // position of the store at which the configuration was read
-	failures := 0
-	for ctx.Err() == nil {
-		position, err := fo.listOnce(ctx, configPosition)
-		configPosition = position
-		if errors.Is(err, platform.ErrRestored) {
-			// The store answers, but was restored between two calls.
-			fo.sleep(ctx, fo.listInterval/minListSpacing)
-			fo.Refresh()
-		} else if err != nil {
-			failures++
-			fo.recordFailure("list", err)
-			fo.submit(func(st *state) bool {
-				st.directory.RecordFailure(fo.clock.Now())
-				return false
-			})
-			fo.backoff(ctx, fo.readerOrder(), failures)
-		} else {
-			failures = 0
-			fo.recordSuccess("list")
-		}
-		fo.waitForList(ctx, failures)
-	}
-}
-
-// waitForList waits until the next list call is due or requested, after a number of
-// consecutive failed ones.
-func (fo *Follower) waitForList(ctx context.Context, failures int) {
-	// A list of an older revision, which a lagging replica of the store may return, does
-	// not make this host's list any younger.
-	calledAt := fo.clock.Now()
-	for {
-		wait := fo.readPlan().UntilList(fo.readerOrder(), failures, fo.clock.Since(fo.view.Load().ConfirmedAt()))
-		wait = max(wait, fo.listInterval/minListSpacing-fo.clock.Since(calledAt))
-		if wait <= 0 {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-fo.relist:
-			return
-		case <-fo.clock.After(max(wait, minListDelay)):
-		}
-	}
-}
-
-func (fo *Follower) readPlan() ReadPlan { return ReadPlan{ListInterval: fo.listInterval} }
-
-// listOnce reads the server list, and the configuration if the store has changed
-// since the given position. It returns the position at which the configuration was
-// read last. Only once both are read, in the same era, the host counts as current and the
-// watch goes on from there.
-func (fo *Follower) listOnce(ctx context.Context, configPosition mp.Position) (mp.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
-	defer cancel()
-	requestedAt := fo.clock.Now()
-	servers, err := fo.store.List(ctx, platform.ServersPrefix)
-	if err != nil {
-		fo.announceList()
-		return configPosition, errors.Trace(err)
-	}
-	fo.submit(func(st *state) bool { return st.replaceServers(requestedAt, servers) })
-	fo.announceList()
-	if configPosition.Before(servers.Position) {
-		page, err := fo.store.List(ctx, platform.OperatorPrefix)
-		if err != nil {
-			return configPosition, errors.Trace(err)
-		}
-		// A request that waits for the first configuration must find the evacuations.
-		fo.replaceEvacuations(requestedAt, page)
-		fo.applyConfigurationFrom(page)
-		if page.Position.Era != servers.Position.Era {
-			return configPosition, errors.Annotatef(platform.ErrRestored, "era %d of the configuration, %d of the servers", page.Position.Era, servers.Position.Era)
-		}
-		configPosition = page.Position
-	}
-	fo.advanceWatch(servers.Position)
-	fo.submit(func(st *state) bool {
-		st.confirmConfigurationAsOf(requestedAt, servers.Position)
-		return false
-	})
-	return configPosition, nil
-}
-
 // applyConfigurationFrom applies the configuration in a page, if there is one. A
 // deleted configuration is logged and the current one stays.
 func (fo *Follower) applyConfigurationFrom(page platform.Page) {
