rendezvous: one copy of the hash by which engines get prefixes and hosts get slots

Cause: brittle had a copy of the function of placement, which it can't import.

Change: package rendezvous has it, both use it.

--- a/brittle/members.go
+++ b/brittle/members.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/rendezvous"
 )
 
 // Host identifies a host of the gateway; it stays the same when the host restarts.
@@ -214,14 +215,5 @@
 }
 
 func weight[K ~string](name K, slot uint64) uint64 {
-	return mixBits(xxhash.Sum64String(string(name)) ^ slot)
-}
-
-// mixBits spreads the bits of a hash, as the finaliser of MurmurHash3 does.
-func mixBits(value uint64) uint64 {
-	value ^= value >> 33
-	value *= 0xff51afd7ed558ccd
-	value ^= value >> 33
-	value *= 0xc4ceb9fe1a85ec53
-	return value ^ value>>33
+	return rendezvous.Mix(xxhash.Sum64String(string(name)) ^ slot)
 }
--- a/brittle/places.go
+++ b/brittle/places.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangopaddle/mangopaddle/rendezvous"
 )
 
 const (
@@ -105,7 +107,7 @@
 	before := se.slots
 	se.slots, se.version = map[int]ownSlot{}, me.version
 	for slot := range min(max(1, se.Slots), maxSlots) {
-		hash := mixBits(se.hash + uint64(slot))
+		hash := rendezvous.Mix(se.hash + uint64(slot))
 		if !me.owns(hash) {
 			continue
 		}
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mangopaddle/mangopaddle/coldstart"
+	"github.com/mangopaddle/mangopaddle/rendezvous"
 )
 
 const (
@@ -133,5 +134,5 @@
 	if prefixID == 0 {
 		return pl.random.Float64()
 	}
-	return float64(mixBits(se.hash^mixBits(prefixID))) / math.MaxUint64
+	return float64(rendezvous.Mix(se.hash^rendezvous.Mix(prefixID))) / math.MaxUint64
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	mp "github.com/mangopaddle/mangopaddle"
+	"github.com/mangopaddle/mangopaddle/rendezvous"
 )
 
 const (
@@ -192,7 +193,7 @@
 	}
 	owner := scope[0]
 	for _, se := range scope[1:] {
-		if order := cmp.Compare(mixBits(se.hash^prefixID), mixBits(owner.hash^prefixID)); order > 0 || (order == 0 && se.ID < owner.ID) {
+		if order := cmp.Compare(rendezvous.Mix(se.hash^prefixID), rendezvous.Mix(owner.hash^prefixID)); order > 0 || (order == 0 && se.ID < owner.ID) {
 			owner = se
 		}
 	}
@@ -264,15 +265,6 @@
 	return local
 }
 
-// mixBits spreads the bits of a hash, as the finaliser of MurmurHash3 does.
-func mixBits(value uint64) uint64 {
-	value ^= value >> 33
-	value *= 0xff51afd7ed558ccd
-	value ^= value >> 33
-	value *= 0xc4ceb9fe1a85ec53
-	return value ^ value>>33
-}
-
 func hashString(text string) uint64 {
 	ha := fnv.New64a()
 	_, _ = ha.Write([]byte(text))
--- a/placement/jitter.go
+++ b/placement/jitter.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mangopaddle/mangopaddle/rendezvous"
 )
 
 const (
@@ -101,7 +103,7 @@
 func (re *reservation) setEngines(engines []*server) {
 	re.ranked = slices.Clone(engines)
 	slices.SortFunc(re.ranked, func(a, b *server) int {
-		return cmp.Or(cmp.Compare(mixBits(a.hash), mixBits(b.hash)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(rendezvous.Mix(a.hash), rendezvous.Mix(b.hash)), cmp.Compare(a.ID, b.ID))
 	})
 	re.reserve()
 }
