gateway: the test of a forwarded request looks at the time that the server is given

Cause: the test had body, path, organisation, signature and headers of the hop, but not Deadline-Ms.

Change: it is positive and at most what the caller gave. The test passes.

--- a/gateway/forward_test.go
+++ b/gateway/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,10 @@
 	require.Equal(t, "app-0", seen[0].Header.Get(platform.HeaderExpectInstance))
 	require.Equal(t, "m", seen[0].Header.Get("Model"))
 	require.Empty(t, seen[0].Header.Get("Authorization"))
+	left, err := strconv.Atoi(seen[0].Header.Get("Deadline-Ms"))
+	require.NoError(t, err)
+	require.Positive(t, left)
+	require.LessOrEqual(t, left, 10_000, "what is left of the caller's time")
 	requireNoForwardHeaders(t, seen[0].Header)
 	requireNoForwardHeaders(t, got.header)
 	events := fp.logs.RequestEvents("r-1") // of both hosts
